--- /dev/null
+++ b/cmd/dtcore/main.go
@@ -0,0 +1,131 @@
+// Command dtcore is the control plane: it serves on core machines, and its
+// subcommands are the operators' way in.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"damsontiller/cmd/start"
+	"damsontiller/coord/core"
+	"damsontiller/coord/web"
+	"damsontiller/proto/spec"
+	"damsontiller/state/vault"
+	"damsontiller/xport/code"
+)
+
+const usage = `dtcore serve [flags]                 run a core machine
+dtcore spec get|put|patch [flags]    read or change the spec
+dtcore spec version N [flags]        is version N in force everywhere?
+dtcore zone empty|refill ZONE        take a zone out of service, or back
+dtcore members [flags]               list the members
+dtcore health [flags]                what is wrong, if anything
+dtcore check FILE                    check a spec file
+
+Each takes -h.`
+
+func main() { os.Exit(start.Exit(run(os.Args[1:]))) }
+
+func run(args []string) error {
+	if len(args) == 0 {
+		return code.New(code.BadFlag, "a subcommand is missing\n%s", usage)
+	}
+	switch args[0] {
+	case "serve":
+		return serve(args[1:])
+	case "check":
+		if len(args) != 2 {
+			return code.New(code.BadFlag, "check wants one file")
+		}
+		if _, err := readSpec(args[1]); err != nil {
+			return err
+		}
+		fmt.Println("ok")
+		return nil
+	case "-h", "-help", "--help", "help":
+		fmt.Println(usage)
+		return nil
+	}
+	return operate(args)
+}
+
+func readSpec(file string) (*spec.Spec, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, code.New(code.BadSpec, "%w", err)
+	}
+	s := &spec.Spec{}
+	if err := spec.Read(b, s); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	if err := s.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return s, nil
+}
+
+func serve(args []string) error {
+	fs := flag.NewFlagSet("dtcore serve", flag.ContinueOnError)
+	p := start.Flags(fs)
+	boot := fs.Bool("bootstrap", false, "form the first set, once, together with every machine of -cores")
+	cores := fs.String("cores", "", "with -bootstrap: the core machines, as id=address/zone,...")
+	stores := fs.String("stores", "", "with -bootstrap: the store machines, as id=address/zone,...")
+	file := fs.String("spec", "", "with -bootstrap: the first spec's file")
+	ack := fs.Duration("ack-wait", 5*time.Second, "how long an operator's change waits to be in force")
+	if err := p.Parse(args); err != nil {
+		return err
+	}
+	cp := core.Params{Bootstrap: *boot, AckWait: *ack}
+	if p.Data == "" {
+		return code.New(code.BadFlag, "-data: missing")
+	}
+	if *ack <= 0 {
+		return code.New(code.BadFlag, "-ack-wait: %s is not positive", *ack)
+	}
+	if *boot {
+		var err error
+		if cp.Cores, err = start.Machines("cores", *cores); err != nil {
+			return err
+		}
+		if cp.Stores, err = start.Machines("stores", *stores); err != nil {
+			return err
+		}
+		if cp.Spec, err = readSpec(*file); err != nil {
+			return code.New(code.BadFlag, "-spec: %w", err)
+		}
+	} else if p.Seeds == "" {
+		return code.New(code.BadFlag, "-seeds: missing")
+	}
+	log := p.Log("dtcore")
+	v, err := vault.Open(vault.Params{Dir: p.Data, ID: p.ID, Role: "core", Log: func(m string, a ...any) { log.Warn(m, a...) }})
+	if err != nil {
+		return err
+	}
+	defer v.Close()
+	c, err := core.New(cp, p.Node("core", v.Ident(), log), v)
+	if err != nil {
+		return err
+	}
+	ctx, stop := start.Signals()
+	defer stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := c.Start(ctx); err != nil {
+		return err
+	}
+	e := web.New(log)
+	c.Routes(e)
+	if p.Faults {
+		web.Faults(e, c.Peer.Cuts)
+	}
+	log.Info("serving", "listen", p.Listen, "http", p.HTTP, "spec", c.Realm.Now().Ver)
+	err = web.Serve(ctx, p.HTTP, e, 2*time.Second)
+	cancel()
+	c.Wait()
+	c.Peer.Close()
+	log.Info("stopped")
+	return err
+}
--- /dev/null
+++ b/cmd/dtpass/main.go
@@ -0,0 +1,136 @@
+// Command dtpass is the data plane: -role edge serves callers, -role store
+// keeps the shared state.
+package main
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"damsontiller/cmd/start"
+	"damsontiller/coord/web"
+	"damsontiller/pass/edge"
+	"damsontiller/pass/store"
+	"damsontiller/state/vault"
+	"damsontiller/xport/code"
+)
+
+func main() { os.Exit(start.Exit(run(os.Args[1:]))) }
+
+func run(args []string) error {
+	fs := flag.NewFlagSet("dtpass", flag.ContinueOnError)
+	p := start.Flags(fs)
+	role := fs.String("role", "", "edge or store")
+	grace := fs.Duration("grace", 20*time.Second, "edge: how long jobs under way are given at a stop")
+	if err := p.Parse(args); err != nil {
+		return err
+	}
+	if p.Seeds == "" {
+		return code.New(code.BadFlag, "-seeds: missing")
+	}
+	if *grace <= 0 {
+		return code.New(code.BadFlag, "-grace: %s is not positive", *grace)
+	}
+	switch *role {
+	case "edge":
+		return runEdge(p, *grace)
+	case "store":
+		return runStore(p)
+	}
+	return code.New(code.BadFlag, "-role: %q is neither edge nor store", *role)
+}
+
+func runEdge(p *start.Place, grace time.Duration) error {
+	if p.Data != "" {
+		return code.New(code.BadFlag, "-data: an edge keeps nothing on disk")
+	}
+	log := p.Log("dtpass")
+	sig, stop := start.Signals()
+	defer stop()
+	// The duties outlive the signal: what is under way still needs them.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e := edge.New(ctx, edge.DefaultParams, p.Node("edge", "", log))
+	x := web.New(log)
+	e.Routes(x)
+	if p.Faults {
+		web.Faults(x, e.Peer.Cuts)
+	}
+	served := make(chan error, 1)
+	hctx, hstop := context.WithCancel(context.Background())
+	defer hstop()
+	// The door answers from the start, if only that the node is not ready.
+	go func() { served <- web.Serve(hctx, p.HTTP, x, grace) }()
+	jctx, jstop := context.WithCancel(ctx)
+	defer jstop()
+	started := make(chan error, 1)
+	go func() { started <- e.Start(jctx) }()
+	log.Info("serving", "listen", p.Listen, "http", p.HTTP)
+	var err error
+	for done := false; !done; {
+		select {
+		case err = <-started:
+			if err != nil {
+				done = true
+			}
+			started = nil
+		case err = <-served:
+			return err
+		case <-sig.Done():
+			done = true
+		}
+	}
+	e.Stop()
+	hstop()
+	if serr := <-served; err == nil {
+		err = serr
+	}
+	// What was decided behind the last answers is written down first.
+	e.Settle(2 * time.Second)
+	cancel()
+	e.Wait()
+	e.Peer.Close()
+	log.Info("stopped")
+	return err
+}
+
+func runStore(p *start.Place) error {
+	if p.Data == "" {
+		return code.New(code.BadFlag, "-data: missing")
+	}
+	log := p.Log("dtpass")
+	v, err := vault.Open(vault.Params{Dir: p.Data, ID: p.ID, Role: "store", Log: func(m string, a ...any) { log.Warn(m, a...) }})
+	if err != nil {
+		return err
+	}
+	defer v.Close()
+	ctx, stop := start.Signals()
+	defer stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := store.New(p.Node("store", v.Ident(), log), v)
+	if err != nil {
+		return err
+	}
+	if err := s.Start(ctx); err != nil {
+		return err
+	}
+	x := web.New(log)
+	x.GET("/v1/status", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, map[string]any{"id": p.ID, "ready": true, "spec": s.Realm.Now().Ver, "ident": v.Ident(), "messages_sent": s.Peer.Sent()})
+	})
+	if p.Faults {
+		web.Faults(x, s.Peer.Cuts)
+	}
+	log.Info("serving", "listen", p.Listen, "http", p.HTTP, "ident", v.Ident())
+	err = web.Serve(ctx, p.HTTP, x, time.Second)
+	cancel()
+	s.Wait()
+	s.Peer.Close()
+	log.Info("stopped")
+	return err
+}
--- /dev/null
+++ b/cmd/start/start.go
@@ -0,0 +1,217 @@
+// Package start is what the programs have in common on the command line:
+// settings from flags and a file, checks that name the flag, logs, signals.
+package start
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"damsontiller/coord/licence"
+	"damsontiller/coord/news"
+	"damsontiller/coord/node"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/xport"
+	"damsontiller/xport/code"
+)
+
+// Exit codes.
+const (
+	ExitOK      = 0
+	ExitProblem = 1
+	ExitFlags   = 2
+)
+
+// Place is where a process stands.
+type Place struct {
+	ID, Listen, HTTP, Zone, Data, Level string
+	Seeds                               string
+	Faults                              bool
+	Renew, Lasts, Hold                  time.Duration
+	file                                string
+	fs                                  *flag.FlagSet
+}
+
+// Flags defines the flags that every process has.
+func Flags(fs *flag.FlagSet) *Place {
+	p := &Place{fs: fs}
+	d := licence.DefaultParams
+	fs.StringVar(&p.ID, "id", "", "name of this machine")
+	fs.StringVar(&p.Listen, "listen", "", "IP number and port for the system's own processes")
+	fs.StringVar(&p.HTTP, "http", "", "IP number and port for HTTP")
+	fs.StringVar(&p.Zone, "zone", "", "zone of this machine")
+	fs.StringVar(&p.Data, "data", "", "data folder, where this process keeps anything")
+	fs.StringVar(&p.Seeds, "seeds", "", "up to three addresses of other processes, with commas between")
+	fs.StringVar(&p.Level, "log", "info", "least level logged: debug, info, warn, error")
+	fs.BoolVar(&p.Faults, "faults", false, "let the rehearsal kit cut this process off (never in service)")
+	fs.DurationVar(&p.Renew, "renew", d.Renew, "time between renewals of the licence")
+	fs.DurationVar(&p.Lasts, "lasts", d.Lasts, "time a licence lasts")
+	fs.DurationVar(&p.Hold, "hold", d.Hold, "time that a node cut off from the core goes on")
+	fs.StringVar(&p.file, "params", "", "settings file: a JSON object of flag names and values; flags go before it")
+	return p
+}
+
+func flagErr(name, format string, a ...any) error {
+	return code.New(code.BadFlag, "-%s: %s", name, fmt.Sprintf(format, a...))
+}
+
+// Parse reads flags and the settings file, and checks them.
+func (p *Place) Parse(args []string) error {
+	p.fs.SetOutput(io.Discard)
+	if err := p.fs.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			p.fs.SetOutput(os.Stdout)
+			p.fs.Usage()
+			return err
+		}
+		return code.New(code.BadFlag, "%w", err)
+	}
+	if p.fs.NArg() > 0 {
+		return code.New(code.BadFlag, "%q is no flag", p.fs.Arg(0))
+	}
+	if p.file != "" {
+		if err := p.load(); err != nil {
+			return err
+		}
+	}
+	return p.check()
+}
+
+func (p *Place) load() error {
+	b, err := os.ReadFile(p.file)
+	if err != nil {
+		return flagErr("params", "%v", err)
+	}
+	var m map[string]any
+	if err := json.Unmarshal(b, &m); err != nil {
+		return flagErr("params", "%s: %v", p.file, err)
+	}
+	given := map[string]bool{}
+	p.fs.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for k, v := range m {
+		if k == "params" || p.fs.Lookup(k) == nil {
+			return flagErr("params", "%s: %q is not a setting", p.file, k)
+		}
+		if given[k] {
+			continue
+		}
+		switch v.(type) {
+		case string, bool, float64:
+		default:
+			return flagErr("params", "%s: %q wants a plain value", p.file, k)
+		}
+		if err := p.fs.Set(k, fmt.Sprint(v)); err != nil {
+			return flagErr(k, "%s: %v", p.file, err)
+		}
+	}
+	return nil
+}
+
+func (p *Place) check() error {
+	if !spec.Name(p.ID) {
+		return flagErr("id", "%q is not a name", p.ID)
+	}
+	if err := spec.Addr(p.Listen); err != nil {
+		return flagErr("listen", "%v", err)
+	}
+	if err := spec.Addr(p.HTTP); err != nil {
+		return flagErr("http", "%v", err)
+	}
+	if !spec.Name(p.Zone) {
+		return flagErr("zone", "%q is not a name", p.Zone)
+	}
+	if n := len(p.SeedList()); n > 3 {
+		return flagErr("seeds", "%d addresses, at most three", n)
+	}
+	for _, s := range p.SeedList() {
+		if err := spec.Addr(s); err != nil {
+			return flagErr("seeds", "%v", err)
+		}
+	}
+	if hclog.LevelFromString(p.Level) == hclog.NoLevel {
+		return flagErr("log", "%q is not a level", p.Level)
+	}
+	if p.Renew <= 0 || p.Lasts < 2*p.Renew {
+		return flagErr("lasts", "%s is less than twice -renew %s", p.Lasts, p.Renew)
+	}
+	if p.Hold < p.Lasts {
+		return flagErr("hold", "%s is less than -lasts %s", p.Hold, p.Lasts)
+	}
+	return nil
+}
+
+// SeedList is the seeds as a list.
+func (p *Place) SeedList() []string {
+	if p.Seeds == "" {
+		return nil
+	}
+	return strings.Split(p.Seeds, ",")
+}
+
+// Log makes the process's log.
+func (p *Place) Log(name string) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: name + " " + p.ID, Level: hclog.LevelFromString(p.Level), Output: os.Stderr})
+}
+
+// Node makes the node's params.
+func (p *Place) Node(role, ident string, log hclog.Logger) node.Params {
+	return node.Params{
+		Self:  &wire.Member{Id: p.ID, Role: role, Addr: p.Listen, Http: p.HTTP, Zone: p.Zone, Ident: ident},
+		Seeds: p.SeedList(), Net: xport.TCP(xport.DefaultParams), Xport: xport.DefaultParams,
+		Lic: licence.Params{Renew: p.Renew, Lasts: p.Lasts, Hold: p.Hold}, News: news.DefaultParams, Log: log,
+	}
+}
+
+// Signals gives a context that ends at the first interrupt; the second ends
+// the process.
+func Signals() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
+
+// Exit reports a problem and gives the exit code.
+func Exit(err error) int {
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case code.Of(err) == code.BadFlag:
+		fmt.Fprintln(os.Stderr, err)
+		return ExitFlags
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return ExitProblem
+}
+
+// Machines parses a list like c1=127.0.0.1:7101/a,c2=...
+func Machines(name, s string) ([]spec.Machine, error) {
+	var out []spec.Machine
+	ids := map[string]bool{}
+	for _, part := range strings.Split(s, ",") {
+		id, rest, ok := strings.Cut(part, "=")
+		addr, zone, ok2 := strings.Cut(rest, "/")
+		if !ok || !ok2 || !spec.Name(id) || !spec.Name(zone) {
+			return nil, flagErr(name, "%q is not name=address/zone", part)
+		}
+		if err := spec.Addr(addr); err != nil {
+			return nil, flagErr(name, "%v", err)
+		}
+		if ids[id] {
+			return nil, flagErr(name, "%q is listed twice", id)
+		}
+		ids[id] = true
+		out = append(out, spec.Machine{ID: id, Addr: addr, Zone: zone})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/coord/core/ops.go
@@ -0,0 +1,220 @@
+package core
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"damsontiller/coord/duty"
+	"damsontiller/coord/web"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// ack is the answer to a change.
+type ack struct {
+	Version uint64   `json:"version"`
+	Code    int      `json:"code"`
+	Name    string   `json:"name"`
+	InForce bool     `json:"in_force"`
+	Waiting []string `json:"waiting"`
+}
+
+func (c *Core) refused(ctx context.Context, addr string) bool { return duty.Gone(ctx, c.Peer, addr) }
+
+// Routes puts the operators' interface on e.
+func (c *Core) Routes(e *echo.Echo) {
+	e.GET("/v1/spec", c.getSpec)
+	e.PUT("/v1/spec", c.putSpec)
+	e.PATCH("/v1/spec", c.patchSpec)
+	e.GET("/v1/spec/versions/:ver", c.getVersion)
+	e.POST("/v1/zones/:zone/empty", func(x echo.Context) error { return c.zone(x, true) })
+	e.POST("/v1/zones/:zone/refill", func(x echo.Context) error { return c.zone(x, false) })
+	e.GET("/v1/members", c.getMembers)
+	e.GET("/v1/health", c.getHealth)
+}
+
+func (c *Core) getSpec(x echo.Context) error {
+	// Read at a majority: what this core has in force may be older.
+	if err := c.Realm.Read(x.Request().Context()); err != nil {
+		return web.Fail(x, err)
+	}
+	v := c.Realm.Now()
+	b, err := spec.State{Version: v.Ver, Spec: v.Spec}.MarshalJSON()
+	if err != nil {
+		return web.Fail(x, err)
+	}
+	return x.JSONBlob(http.StatusOK, b)
+}
+
+func (c *Core) putSpec(x echo.Context) error {
+	b, err := web.Body(x, spec.MaxBytes)
+	if err != nil {
+		return web.Fail(x, err)
+	}
+	var p spec.Put
+	if err := spec.Read(b, &p); err != nil {
+		return web.Fail(x, err)
+	}
+	if p.Expect == 0 {
+		return web.Fail(x, code.New(code.BadField, "expect: the version to be replaced is missing"))
+	}
+	return c.change(x, p.Expect, func(s *spec.Spec) { *s = p.Spec })
+}
+
+func (c *Core) patchSpec(x echo.Context) error {
+	b, err := web.Body(x, spec.MaxBytes)
+	if err != nil {
+		return web.Fail(x, err)
+	}
+	var p spec.Patch
+	if err := spec.Read(b, &p); err != nil {
+		return web.Fail(x, err)
+	}
+	return c.change(x, p.Expect, func(s *spec.Spec) { *s = p.Apply(*s) })
+}
+
+func (c *Core) zone(x echo.Context, empty bool) error {
+	z := x.Param("zone")
+	if !slices.Contains(c.Realm.Now().Spec.Zones, z) {
+		return web.Fail(x, code.New(code.NoZone, "%q is not one of zones", z))
+	}
+	return c.change(x, 0, func(s *spec.Spec) {
+		s.EmptyZones = slices.DeleteFunc(slices.Clone(s.EmptyZones), func(e string) bool { return e == z })
+		if empty {
+			s.EmptyZones = append(s.EmptyZones, z)
+		}
+	})
+}
+
+// change makes f's change, checks it, and answers as the rule of
+// acknowledgement says.
+func (c *Core) change(x echo.Context, expect uint64, f func(*spec.Spec)) error {
+	ctx, stop := context.WithTimeout(x.Request().Context(), c.p.AckWait)
+	defer stop()
+	ver, raw, err := c.Realm.Change(ctx, expect, func(r *spec.Realm) error {
+		f(&r.Spec)
+		return r.Spec.Check()
+	})
+	if err != nil {
+		p := web.Of(err)
+		if code.Of(err) == code.SpecConflict {
+			p.Version = ver
+		}
+		return x.JSON(code.Code(p.Code).Status(), p)
+	}
+	c.Log.Info("spec chosen", "version", ver)
+	took := c.spread(ctx, ver, raw)
+	wait := []string{"unknown"}
+	for {
+		if w, err := c.waiting(ctx, ver, took); err == nil {
+			if wait = w; len(w) == 0 {
+				return x.JSON(http.StatusOK, ack{Version: ver, Name: code.OK.Name(), InForce: true, Waiting: w})
+			}
+		}
+		if !loop.Wait(ctx, 50*time.Millisecond) {
+			// Chosen, but somebody could still act on an older one.
+			return x.JSON(http.StatusAccepted, ack{ver, int(code.NotInForce), code.NotInForce.Name(), false, wait})
+		}
+	}
+}
+
+func (c *Core) getVersion(x echo.Context) error {
+	ver, err := strconv.ParseUint(x.Param("ver"), 10, 64)
+	if err != nil || ver == 0 {
+		return web.Fail(x, code.New(code.BadField, "version: %q is not a version", x.Param("ver")))
+	}
+	ctx := x.Request().Context()
+	if err := c.Realm.Read(ctx); err != nil {
+		return web.Fail(x, err)
+	}
+	if now := c.Realm.Now().Ver; ver > now {
+		return web.Fail(x, code.New(code.NoVersion, "version %d, the latest is %d", ver, now))
+	}
+	w, err := c.waiting(ctx, ver, nil)
+	if err != nil {
+		return web.Fail(x, err)
+	}
+	a := ack{Version: ver, Name: code.OK.Name(), InForce: len(w) == 0, Waiting: w}
+	if !a.InForce {
+		a.Code, a.Name = int(code.NotInForce), code.NotInForce.Name()
+	}
+	return x.JSON(http.StatusOK, a)
+}
+
+// member is a row of the members list.
+type member struct {
+	ID       string `json:"id"`
+	Role     string `json:"role"`
+	Addr     string `json:"addr"`
+	HTTP     string `json:"http"`
+	Zone     string `json:"zone"`
+	Live     bool   `json:"live"`
+	Spec     uint64 `json:"spec"`
+	SilentMs int64  `json:"silent_ms"`
+	Votes    bool   `json:"votes"`
+	Status   string `json:"status,omitempty"`
+}
+
+func (c *Core) getMembers(x echo.Context) error {
+	all, err := c.known(x.Request().Context())
+	if err != nil {
+		return web.Fail(x, err)
+	}
+	out := []member{}
+	for _, m := range all {
+		out = append(out, member{m.Id, m.Role, m.Addr, m.Http, m.Zone, m.Live, m.SpecVer, m.SilentMs, c.votes(m), m.Status})
+	}
+	slices.SortFunc(out, func(a, b member) int {
+		if a.ID != b.ID {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		}
+		return 0
+	})
+	return x.JSON(http.StatusOK, map[string]any{"members": out})
+}
+
+func (c *Core) votes(m *wire.Member) bool {
+	v := c.Realm.Now()
+	return slices.ContainsFunc(append(slices.Clone(v.Realm.Cores), v.Realm.Stores...), func(s spec.Machine) bool { return s.Ident != "" && s.Ident == m.Ident })
+}
+
+// getHealth tells what an operator should look at first.
+func (c *Core) getHealth(x echo.Context) error {
+	all, err := c.known(x.Request().Context())
+	if err != nil {
+		return web.Fail(x, err)
+	}
+	v := c.Realm.Now()
+	wrong := []string{}
+	for _, m := range append(slices.Clone(v.Realm.Cores), v.Realm.Stores...) {
+		g := all[m.ID+"@"+m.Addr]
+		switch {
+		case g == nil || !g.Live:
+			wrong = append(wrong, m.ID+" is away")
+		case m.Ident == "":
+			wrong = append(wrong, m.ID+" is not bound yet")
+		case g.Ident != m.Ident:
+			wrong = append(wrong, m.ID+" came back with another identity and does not vote")
+		}
+	}
+	for _, m := range all {
+		if m.Role == "edge" && !m.Live {
+			wrong = append(wrong, m.Id+" is away")
+		}
+		if m.Status != "" {
+			wrong = append(wrong, m.Id+": "+m.Status)
+		}
+	}
+	slices.Sort(wrong)
+	return x.JSON(http.StatusOK, map[string]any{"ok": len(wrong) == 0, "spec": v.Ver, "members": len(all), "wrong": wrong})
+}
--- /dev/null
+++ b/coord/duty/duty.go
@@ -0,0 +1,176 @@
+// Package duty gives each single duty to the first live member in an agreed
+// order, under an epoch from a register at the core. Everyone remembers the
+// highest epoch seen and refuses lower ones, so two holders can't both act.
+package duty
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"damsontiller/coord/licence"
+	"damsontiller/coord/peer"
+	"damsontiller/coord/realm"
+	"damsontiller/proto/reg"
+	"damsontiller/proto/wire"
+	"damsontiller/xport"
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// Fence remembers the highest epoch of a duty seen here.
+type Fence struct {
+	mu  sync.Mutex
+	top uint64
+	at  time.Time
+}
+
+// Pass refuses an epoch below the highest seen.
+func (f *Fence) Pass(epoch uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if epoch < f.top {
+		return code.New(code.OldEpoch, "epoch %d, %d has been seen", epoch, f.top)
+	}
+	f.top, f.at = epoch, time.Now()
+	return nil
+}
+
+// Top is the highest epoch seen.
+func (f *Fence) Top() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.top
+}
+
+// Quiet is how long nobody with a good epoch has been heard.
+func (f *Fence) Quiet() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.at.IsZero() {
+		return 1 << 62
+	}
+	return time.Since(f.at)
+}
+
+// Duty is one duty as seen by one member.
+type Duty struct {
+	Name  string
+	Peer  *peer.Peer
+	Realm *realm.Realm
+	Lic   *licence.Holder
+	Prop  *reg.Proposer
+	Fence *Fence
+	// Work does the duty until ctx ends or it returns, which it does when an
+	// answer of old_epoch says that another has taken over.
+	Work func(ctx context.Context, epoch uint64)
+	// Silence after which a successor looks whether the holder's port is gone.
+	Silence time.Duration
+
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+// Order lists the live edge members; those in emptied zones come last.
+func Order(v *realm.View, ms []*wire.Member) []*wire.Member {
+	var out []*wire.Member
+	for _, m := range ms {
+		if m.Live && m.Role == "edge" {
+			out = append(out, m)
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		a, b := v.Spec.Empty(out[i].Zone), v.Spec.Empty(out[j].Zone)
+		if a != b {
+			return b
+		}
+		return out[i].Id < out[j].Id
+	})
+	return out
+}
+
+// Holder is the member whose turn it is.
+func (d *Duty) Holder() *wire.Member {
+	if o := Order(d.Realm.Now(), d.Lic.Members()); len(o) > 0 {
+		return o[0]
+	}
+	return nil
+}
+
+// Run takes and leaves the duty until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	loop.Every(ctx, 250*time.Millisecond, d.Realm.Watch(), d.step)
+	d.leave()
+}
+
+func (d *Duty) step(ctx context.Context) {
+	mine := d.mine(ctx)
+	if d.stop != nil {
+		select {
+		case <-d.ended:
+			d.leave()
+		default:
+		}
+	}
+	switch {
+	case mine && d.stop == nil:
+		d.take(ctx)
+	case !mine && d.stop != nil:
+		d.leave()
+	}
+}
+
+// mine: the first live member has the duty. A first one that has fallen silent
+// and whose port is refused is gone before its licence says so.
+func (d *Duty) mine(ctx context.Context) bool {
+	o := Order(d.Realm.Now(), d.Lic.Members())
+	for _, m := range o {
+		if m.Id == d.Peer.Self.Id {
+			return d.Lic.Valid() || d.stop != nil
+		}
+		if d.Fence.Quiet() < d.Silence || !Gone(ctx, d.Peer, m.Addr) {
+			return false
+		}
+	}
+	return false
+}
+
+// Gone tells whether nobody listens at addr any more.
+func Gone(ctx context.Context, p *peer.Peer, addr string) bool {
+	_, err := p.CallFor(ctx, 200*time.Millisecond, addr, &wire.Req{Op: &wire.Req_Hello{Hello: &wire.Hello{}}})
+	return errors.Is(err, xport.ErrRefused)
+}
+
+func (d *Duty) take(ctx context.Context) {
+	cctx, stop := context.WithTimeout(ctx, time.Second)
+	defer stop()
+	st, err := d.Prop.Change(cctx, d.Realm.Now().Cores(), "duty/"+d.Name, func(reg.State) ([]byte, bool, error) {
+		return []byte(d.Peer.Self.Id), false, nil
+	})
+	if err != nil {
+		d.Peer.Log.Warn("duty can't be taken", "duty", d.Name, "err", err)
+		return
+	}
+	if d.Fence.Pass(st.Ver) != nil {
+		return
+	}
+	d.Peer.Log.Info("duty taken", "duty", d.Name, "epoch", st.Ver)
+	wctx, wstop := context.WithCancel(ctx)
+	d.stop, d.ended = wstop, make(chan struct{})
+	go func() {
+		defer close(d.ended)
+		d.Work(wctx, st.Ver)
+	}()
+}
+
+func (d *Duty) leave() {
+	if d.stop == nil {
+		return
+	}
+	d.stop()
+	<-d.ended
+	d.stop = nil
+	d.Peer.Log.Info("duty left", "duty", d.Name)
+}
--- /dev/null
+++ b/coord/news/news.go
@@ -0,0 +1,245 @@
+// Package news carries versioned items to every member down a tree of relays
+// that is formed anew for each message: the sender splits its targets zone by
+// zone among up to four children, and each child does the same with its share.
+// A child that does not answer is passed over and its share is given to the
+// next in it; a digest with a random peer mends whatever is left.
+package news
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"damsontiller/coord/peer"
+	"damsontiller/proto/wire"
+	"damsontiller/xport/loop"
+)
+
+// Params are the tree's shape and times.
+type Params struct {
+	Fanout int
+	Wait   time.Duration // for a child and all below it
+	Step   time.Duration // less of it at each level
+	Least  time.Duration
+	Digest time.Duration
+}
+
+// DefaultParams are the design's.
+var DefaultParams = Params{Fanout: 4, Wait: 400 * time.Millisecond, Step: 40 * time.Millisecond, Least: 150 * time.Millisecond, Digest: 500 * time.Millisecond}
+
+// Board is what a node has heard.
+type Board struct {
+	p       Params
+	peer    *peer.Peer
+	members func() []*wire.Member
+	mu      sync.Mutex
+	all     map[string]*wire.Item
+	on      map[string]func(*wire.Item) error
+	brief   map[string]bool
+	queue   sync.Mutex
+}
+
+// New makes a board and answers News and Digest calls on pr.
+func New(p Params, pr *peer.Peer, members func() []*wire.Member) *Board {
+	b := &Board{p: p, peer: pr, members: members, all: map[string]*wire.Item{}, on: map[string]func(*wire.Item) error{}, brief: map[string]bool{}}
+	pr.On(&wire.Req_News{}, b.relay)
+	pr.On(&wire.Req_Digest{}, b.digest)
+	return b
+}
+
+// On sets what happens with new items of a topic. An item whose handler fails
+// is not taken, nor confirmed, and will be offered again.
+func (b *Board) On(topic string, f func(*wire.Item) error) { b.on[topic] = f }
+
+// OnBrief is On for a topic that is out of date at once: its items go down the
+// tree but are neither kept nor offered in digests to those who come later.
+func (b *Board) OnBrief(topic string, f func(*wire.Item) error) {
+	b.on[topic], b.brief[topic] = f, true
+}
+
+func name(i *wire.Item) string { return i.Topic + "/" + i.Key }
+
+// Take keeps newer items; it tells whether all are now here.
+func (b *Board) Take(items []*wire.Item) bool {
+	// One taker at a time, so that handlers see each topic in rising order.
+	b.queue.Lock()
+	defer b.queue.Unlock()
+	all := true
+	for _, i := range items {
+		b.mu.Lock()
+		old := b.all[name(i)]
+		b.mu.Unlock()
+		if old != nil && !wire.Newer(i, old) {
+			continue
+		}
+		if f := b.on[i.Topic]; f != nil {
+			if err := f(i); err != nil {
+				b.peer.Log.Warn("news not taken", "topic", i.Topic, "key", i.Key, "err", err)
+				all = false
+				continue
+			}
+		}
+		if !b.brief[i.Topic] {
+			b.mu.Lock()
+			b.all[name(i)] = i
+			b.mu.Unlock()
+		}
+	}
+	return all
+}
+
+// Head finds the item last heard.
+func (b *Board) Head(topic, key string) *wire.Item {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all[topic+"/"+key]
+}
+
+// Publish takes the items here and sends them to all other members. It gives
+// the ids known to have taken them.
+func (b *Board) Publish(ctx context.Context, items ...*wire.Item) []string {
+	var took []string
+	if b.Take(items) {
+		took = append(took, b.peer.Self.Id)
+	}
+	return append(took, b.push(ctx, items, b.others(), b.p.Wait)...)
+}
+
+func (b *Board) others() []*wire.Member {
+	var out []*wire.Member
+	for _, m := range b.members() {
+		if m.Live && m.Id != b.peer.Self.Id {
+			out = append(out, &wire.Member{Id: m.Id, Addr: m.Addr, Zone: m.Zone})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Zone != out[j].Zone {
+			return out[i].Zone < out[j].Zone
+		}
+		return out[i].Id < out[j].Id
+	})
+	return out
+}
+
+// relay takes items and hands them on.
+func (b *Board) relay(ctx context.Context, q *wire.Req) (*wire.Resp, error) {
+	n := q.GetNews()
+	var took []string
+	if b.Take(n.Items) {
+		took = append(took, b.peer.Self.Id)
+	}
+	wait := max(time.Duration(n.WaitMs)*time.Millisecond-b.p.Step, b.p.Least)
+	took = append(took, b.push(ctx, n.Items, n.Targets, wait)...)
+	return &wire.Resp{Op: &wire.Resp_News{News: &wire.NewsAck{Took: took}}}, nil
+}
+
+// push splits targets among children and gathers who took the items. It
+// answers in time even if a child hangs; the child's share is then reached in
+// the background through the next node in it.
+func (b *Board) push(ctx context.Context, items []*wire.Item, targets []*wire.Member, wait time.Duration) []string {
+	parts := split(targets, b.p.Fanout)
+	ch := make(chan []string, len(targets)+len(parts))
+	bg := context.WithoutCancel(ctx)
+	for _, part := range parts {
+		go func() {
+			for len(part) > 0 {
+				child, rest := part[0], part[1:]
+				r, err := b.peer.CallFor(bg, wait, child.Addr, &wire.Req{Op: &wire.Req_News{News: &wire.News{Items: items, Targets: rest, WaitMs: wait.Milliseconds()}}})
+				if err == nil {
+					ch <- r.GetNews().GetTook()
+					return
+				}
+				b.peer.Log.Debug("relay passed over", "child", child.Id, "err", err)
+				part = rest
+			}
+			ch <- nil
+		}()
+	}
+	var took []string
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for range parts {
+		select {
+		case ids := <-ch:
+			took = append(took, ids...)
+		case <-t.C:
+			return took
+		case <-ctx.Done():
+			return took
+		}
+	}
+	return took
+}
+
+// split cuts a list in zone order into at most n runs of like length.
+func split(list []*wire.Member, n int) [][]*wire.Member {
+	var out [][]*wire.Member
+	for i := 0; i < n && len(list) > 0; i++ {
+		k := (len(list) + n - i - 1) / (n - i)
+		out = append(out, list[:k])
+		list = list[k:]
+	}
+	return out
+}
+
+// Run compares digests with a random member at each period.
+func (b *Board) Run(ctx context.Context) {
+	loop.Every(ctx, b.p.Digest, nil, func(ctx context.Context) {
+		if o := b.others(); len(o) > 0 {
+			b.mend(ctx, o[rand.IntN(len(o))].Addr)
+		}
+	})
+}
+
+// mend swaps digests with one peer: it sends what we lack, and we what it does.
+func (b *Board) mend(ctx context.Context, addr string) {
+	r, err := b.peer.CallFor(ctx, b.p.Digest, addr, &wire.Req{Op: &wire.Req_Digest{Digest: &wire.Digest{Heads: b.heads()}}})
+	if err != nil {
+		return
+	}
+	b.Take(r.GetDigest().GetItems())
+	var lack []*wire.Item
+	for _, w := range r.GetDigest().GetWant() {
+		if i := b.Head(w.Topic, w.Key); i != nil {
+			lack = append(lack, i)
+		}
+	}
+	if len(lack) > 0 {
+		_, _ = b.peer.CallFor(ctx, b.p.Digest, addr, &wire.Req{Op: &wire.Req_News{News: &wire.News{Items: lack}}})
+	}
+}
+
+func (b *Board) heads() []*wire.Item {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]*wire.Item, 0, len(b.all))
+	for _, i := range b.all {
+		out = append(out, &wire.Item{Topic: i.Topic, Key: i.Key, Epoch: i.Epoch, Seq: i.Seq})
+	}
+	return out
+}
+
+func (b *Board) digest(_ context.Context, q *wire.Req) (*wire.Resp, error) {
+	a := &wire.DigestAck{}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	theirs := map[string]bool{}
+	for _, h := range q.GetDigest().GetHeads() {
+		theirs[name(h)] = true
+		mine := b.all[name(h)]
+		switch {
+		case mine == nil || wire.Newer(h, mine):
+			a.Want = append(a.Want, h)
+		case wire.Newer(mine, h):
+			a.Items = append(a.Items, mine)
+		}
+	}
+	for n, i := range b.all {
+		if !theirs[n] {
+			a.Items = append(a.Items, i)
+		}
+	}
+	return &wire.Resp{Op: &wire.Resp_Digest{Digest: a}}, nil
+}
--- /dev/null
+++ b/coord/peer/peer.go
@@ -0,0 +1,131 @@
+// Package peer is a process as its peers see it: one address, one identity,
+// one incarnation, and the calls it answers.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"damsontiller/proto/wire"
+	"damsontiller/xport"
+	"damsontiller/xport/code"
+)
+
+// Handler answers one kind of request. A nil answer with a nil error is the
+// bare good answer.
+type Handler func(ctx context.Context, q *wire.Req) (*wire.Resp, error)
+
+// Peer calls and is called.
+type Peer struct {
+	Self wire.Member // fixed at start
+	Cuts *xport.Cuts
+	Log  hclog.Logger
+
+	hub *xport.Hub
+	net xport.Net
+	p   xport.Params
+	on  map[reflect.Type]Handler
+	srv *xport.Server
+}
+
+// New makes a peer with a fresh incarnation. Handlers are set before Serve.
+func New(self *wire.Member, n xport.Net, p xport.Params, log hclog.Logger) *Peer {
+	c := &xport.Cuts{}
+	pr := &Peer{Cuts: c, Log: log, hub: xport.NewHub(n, p, c), net: n, p: p, on: map[reflect.Type]Handler{}}
+	pr.Self = wire.Member{Id: self.Id, Role: self.Role, Addr: self.Addr, Http: self.Http, Zone: self.Zone, Ident: self.Ident,
+		Inc: uint64(time.Now().UnixMilli())<<16 | uint64(rand.Uint32()&0xffff)}
+	return pr
+}
+
+// Member is a copy of the peer's own entry with the spec version it confirms.
+func (p *Peer) Member(specVer uint64) *wire.Member {
+	s := &p.Self
+	return &wire.Member{Id: s.Id, Role: s.Role, Addr: s.Addr, Http: s.Http, Zone: s.Zone, Ident: s.Ident, Inc: s.Inc, SpecVer: specVer}
+}
+
+// On sets the handler for requests whose op has the type of op.
+func (p *Peer) On(op any, h Handler) { p.on[reflect.TypeOf(op)] = h }
+
+// Serve listens at the peer's address until Close.
+func (p *Peer) Serve(ctx context.Context) error {
+	ln, err := p.net.Listen(p.Self.Addr)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	p.srv = xport.Serve(ctx, ln, p.p, p.answer, func(err error) { p.Log.Warn("connection let go", "code", int(code.Of(err)), "why", code.Text(err)) })
+	return nil
+}
+
+// Close stops listening and calling.
+func (p *Peer) Close() {
+	if p.srv != nil {
+		p.srv.Close()
+	}
+	p.hub.Close()
+}
+
+// Sent counts the calls made.
+func (p *Peer) Sent() uint64 { return p.hub.Sent.Load() }
+
+func (p *Peer) answer(ctx context.Context, body []byte) []byte {
+	q := &wire.Req{}
+	if err := wire.Decode(body, q); err != nil {
+		return wire.Encode(wire.Fail(err))
+	}
+	if p.Cuts.Has(q.From) {
+		return nil
+	}
+	r, err := p.dispatch(ctx, q)
+	if err != nil {
+		f := wire.Fail(err)
+		// A refusal may still carry what the caller needs to do better.
+		if r != nil {
+			f.Op = r.Op
+		}
+		r = f
+	} else if r == nil {
+		r = wire.Done()
+	}
+	r.Ver = wire.Version
+	return wire.Encode(r)
+}
+
+func (p *Peer) dispatch(ctx context.Context, q *wire.Req) (*wire.Resp, error) {
+	if q.Ver < wire.Oldest {
+		return nil, code.New(code.WireVersion, "message version %d, oldest understood %d", q.Ver, wire.Oldest)
+	}
+	if q.Ident != "" && q.Ident != p.Self.Ident {
+		return nil, code.New(code.WrongIdentity, "%s has identity %s", p.Self.Id, p.Self.Ident)
+	}
+	h := p.on[reflect.TypeOf(q.Op)]
+	if h == nil {
+		return nil, code.New(code.UnknownMsg, "%s does not serve %T", p.Self.Role, q.Op)
+	}
+	return h(ctx, q)
+}
+
+// Call sends a request. The answer may come back beside a problem.
+func (p *Peer) Call(ctx context.Context, addr string, q *wire.Req) (*wire.Resp, error) {
+	q.Ver, q.From, q.Id, q.Inc = wire.Version, p.Self.Addr, p.Self.Id, p.Self.Inc
+	b, err := p.hub.Call(ctx, addr, wire.Encode(q))
+	if err != nil {
+		return nil, err
+	}
+	r := &wire.Resp{}
+	if err := wire.Decode(b, r); err != nil {
+		return nil, err
+	}
+	return r, r.Err()
+}
+
+// CallFor is Call with a cutoff of its own.
+func (p *Peer) CallFor(ctx context.Context, d time.Duration, addr string, q *wire.Req) (*wire.Resp, error) {
+	ctx, stop := context.WithTimeout(ctx, d)
+	defer stop()
+	return p.Call(ctx, addr, q)
+}
--- /dev/null
+++ b/coord/web/web.go
@@ -0,0 +1,115 @@
+// Package web is the HTTP side every process shares: limits, plain problems,
+// a graceful end.
+package web
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
+
+	"damsontiller/xport"
+	"damsontiller/xport/code"
+)
+
+// Problem is what a caller reads of a failed request.
+type Problem struct {
+	Code    int    `json:"code"`
+	Name    string `json:"name"`
+	Problem string `json:"problem"`
+	// Ran is "no" only for work that did not run and won't.
+	Ran string `json:"ran,omitempty"`
+	// Version is the spec in force, where an operator's change lost a race.
+	Version uint64 `json:"version,omitempty"`
+	// NotBefore is when to come back, by this server's clock (see Date).
+	NotBefore string `json:"not_before,omitempty"`
+	WaitMs    int64  `json:"wait_ms,omitempty"`
+	Job       string `json:"job,omitempty"`
+}
+
+// Of turns an error into a problem.
+func Of(err error) Problem {
+	c := code.Of(err)
+	return Problem{Code: int(c), Name: c.Name(), Problem: code.Text(err), Ran: c.Ran()}
+}
+
+// New makes a server whose unknown paths are numbered problems as well.
+func New(log hclog.Logger) *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		if c.Response().Committed {
+			return
+		}
+		var he *echo.HTTPError
+		if errors.As(err, &he) {
+			err = code.New(code.NoPath, "%s: %s", c.Request().URL.Path, http.StatusText(he.Code))
+			if he.Code == http.StatusMethodNotAllowed {
+				c.Response().Header().Set("Allow", c.Response().Header().Get("Allow"))
+			}
+		}
+		if jerr := Fail(c, err); jerr != nil {
+			log.Debug("answer not sent", "err", jerr)
+		}
+	}
+	return e
+}
+
+// Fail answers with the problem's own status.
+func Fail(c echo.Context, err error) error {
+	p := Of(err)
+	return c.JSON(code.Code(p.Code).Status(), p)
+}
+
+// Body reads a request's body up to a limit.
+func Body(c echo.Context, most int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(c.Request().Body, most+1))
+	if err != nil {
+		return nil, code.New(code.BadJSON, "body can't be read: %w", err)
+	}
+	if int64(len(b)) > most {
+		return nil, code.New(code.TooLarge, "more than %d bytes", most)
+	}
+	return b, nil
+}
+
+// Faults adds the rehearsal kit's switch for cutting this process off.
+func Faults(e *echo.Echo, cuts *xport.Cuts) {
+	e.POST("/debug/cuts", func(c echo.Context) error {
+		var q struct {
+			Cut []string `json:"cut"`
+		}
+		if err := c.Bind(&q); err != nil {
+			return Fail(c, code.New(code.BadJSON, "%w", err))
+		}
+		cuts.Set(q.Cut)
+		return c.JSON(http.StatusOK, map[string]int{"fired": cuts.Fired()})
+	})
+}
+
+// Serve runs e at addr until ctx ends, then gives requests under way the grace.
+func Serve(ctx context.Context, addr string, e *echo.Echo, grace time.Duration) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ln) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	gctx, stop := context.WithTimeout(context.WithoutCancel(ctx), grace)
+	defer stop()
+	if err := s.Shutdown(gctx); err != nil {
+		return s.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/kit/dtrig/main.go
@@ -0,0 +1,183 @@
+// Command dtrig is the rehearsal kit: it starts a whole fleet on loopback, has
+// stand-in callers use it, causes failures, and judges what it saw.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
+	"syscall"
+	"time"
+
+	"damsontiller/kit/fleet"
+	"damsontiller/kit/rig"
+)
+
+const usage = `dtrig up [flags]        start a fleet and keep it running until interrupted
+dtrig run [flags]       run one scenario (-scenario) under traffic, and judge it
+dtrig all [flags]       run every scenario for both deployments, and print a table
+dtrig ci [flags]        the short run of the test command
+dtrig list              list the scenarios
+
+Each takes -h.`
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "dtrig:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	if len(args) == 0 {
+		return fmt.Errorf("a subcommand is missing\n%s", usage)
+	}
+	fs := flag.NewFlagSet("dtrig "+args[0], flag.ExitOnError)
+	deploy := fs.String("deploy", "andina", "deployment: andina or tsehay")
+	deploys := fs.String("deploys", "deploy", "folder of the deployments")
+	bin := fs.String("bin", "bin", "folder of dtcore and dtpass")
+	dir := fs.String("dir", "run", "folder for data and logs; its fleets are replaced")
+	seed := fs.Uint64("seed", 1, "seed of the callers and runners")
+	seconds := fs.Int("seconds", 0, "least time of traffic")
+	scale := fs.Float64("scale", 1, "traffic, in times of the usual rate")
+	name := fs.String("scenario", "healthy", "what is done meanwhile")
+	net := fs.Int("net", 0, "second number of the loopback network; 0 finds a free one")
+	level := fs.String("log", "info", "log level of the processes")
+	if err := fs.Parse(args[1:]); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	params := func(deploy, what string, seed uint64) rig.Params {
+		d := filepath.Join(*dir, deploy+"-"+what)
+		return rig.Params{Fleet: fleet.Params{Deploy: filepath.Join(*deploys, deploy), Bin: *bin, Dir: d, Seed: seed, Net: *net, Log: *level},
+			Seconds: *seconds, Scale: *scale, Out: os.Stdout}
+	}
+	one := func(deploy, what string, seed uint64, out io.Writer) (*rig.Result, error) {
+		s, err := rig.Find(what)
+		if err != nil {
+			return nil, err
+		}
+		p := params(deploy, what, seed)
+		p.Out = out
+		if err := os.RemoveAll(p.Fleet.Dir); err != nil {
+			return nil, err
+		}
+		return rig.Run(ctx, p, s)
+	}
+	switch args[0] {
+	case "list":
+		for _, s := range rig.Scenarios {
+			fmt.Printf("%-12s %s\n", s.Name, s.What)
+		}
+		return nil
+	case "up":
+		return up(ctx, params(*deploy, "up", *seed))
+	case "ci":
+		*name = "ci"
+		fallthrough
+	case "run":
+		res, err := one(*deploy, *name, *seed, os.Stdout)
+		if err != nil {
+			return err
+		}
+		report(res)
+		if n := res.Verdict.Total(); n > 0 {
+			return fmt.Errorf("%d breaches", n)
+		}
+		return nil
+	case "all":
+		return all(one, *seed)
+	}
+	return fmt.Errorf("%q is no subcommand\n%s", args[0], usage)
+}
+
+func up(ctx context.Context, p rig.Params) error {
+	f, err := fleet.New(p.Fleet)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	if err := f.Start(ctx); err != nil {
+		return err
+	}
+	for _, m := range f.Machines {
+		fmt.Printf("%-3s %-5s zone %s  http %s  log %s\n", m.ID, m.Role, m.Zone, m.HTTP(), filepath.Join(m.Dir, "log"))
+	}
+	fmt.Println("the fleet serves; interrupt to end it")
+	<-ctx.Done()
+	return nil
+}
+
+func all(one func(string, string, uint64, io.Writer) (*rig.Result, error), seed uint64) error {
+	fmt.Printf("%-8s %-12s %5s %6s %6s %9s  %s\n", "deploy", "scenario", "seed", "asks", "ok", "breaches", "service back after")
+	bad := 0
+	for _, d := range []string{"andina", "tsehay"} {
+		for _, s := range rig.Scenarios {
+			res, err := one(d, s.Name, seed, io.Discard)
+			if err != nil {
+				bad++
+				fmt.Printf("%-8s %-12s %5d %v\n", d, s.Name, seed, err)
+				continue
+			}
+			n := res.Verdict.Total()
+			bad += n
+			fmt.Printf("%-8s %-12s %5d %6d %6d %9d  %s\n", d, s.Name, seed, res.Asks, res.Codes["ok"], n, backs(res))
+			if n > 0 {
+				fmt.Print(res.Verdict)
+			}
+		}
+	}
+	if bad > 0 {
+		return fmt.Errorf("%d breaches and problems", bad)
+	}
+	return nil
+}
+
+func backs(r *rig.Result) string {
+	var out []string
+	for _, b := range r.Back {
+		if b.After < 0 {
+			out = append(out, b.What+": never")
+		} else {
+			out = append(out, fmt.Sprintf("%s: %s", b.What, b.After.Round(10*time.Millisecond)))
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+func report(r *rig.Result) {
+	fmt.Printf("asks %d, runs %d, refused by runners %d, prefixes held %d\n", r.Asks, r.Runs, r.Early, r.Held)
+	var names []string
+	for n := range r.Codes {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		fmt.Printf("  %-18s %d\n", n, r.Codes[n])
+	}
+	if len(r.Urgent) > 0 {
+		slices.Sort(r.Urgent)
+		late := 0
+		for _, d := range r.Urgent {
+			if d > 500*time.Millisecond {
+				late++
+			}
+		}
+		fmt.Printf("urgent: %d, median %s, longest %s, over half a second %d\n", len(r.Urgent), r.Urgent[len(r.Urgent)/2].Round(time.Millisecond), r.Urgent[len(r.Urgent)-1].Round(time.Millisecond), late)
+	}
+	if ok := r.Codes["ok"]; ok > 0 {
+		fmt.Printf("register rounds a good answer %.2f, messages %.1f\n", float64(r.Rounds)/float64(ok), float64(r.Sent)/float64(ok))
+	}
+	if len(r.Back) > 0 {
+		fmt.Println("service back after", backs(r))
+	}
+	fmt.Print(r.Verdict)
+}
--- /dev/null
+++ b/kit/rig/rig.go
@@ -0,0 +1,328 @@
+// Package rig runs a fleet under traffic, causes failures, and has the judge
+// read the ledgers.
+package rig
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"damsontiller/kit/fleet"
+	"damsontiller/kit/judge"
+	"damsontiller/kit/origin"
+	"damsontiller/kit/runner"
+	"damsontiller/xport/loop"
+)
+
+// Params shape a run.
+type Params struct {
+	Fleet   fleet.Params
+	Seconds int
+	Scale   float64 // of the deployment's usual rate
+	Out     io.Writer
+}
+
+// Rig is one run.
+type Rig struct {
+	P     Params
+	F     *fleet.Fleet
+	Crowd *origin.Crowd
+
+	mu      sync.Mutex
+	events  []judge.Event
+	samples []judge.Sample
+	version uint64
+}
+
+// Result is what a run showed.
+type Result struct {
+	Scenario string
+	Seed     uint64
+	Verdict  judge.Verdict
+	Asks     int
+	Codes    map[string]int
+	Runs     int
+	Early    int
+	Held     int
+	Back     []Back
+	Urgent   []time.Duration
+	Rounds   uint64
+	Sent     uint64
+}
+
+// Back is the time to recover from one failure.
+type Back struct {
+	What  string
+	After time.Duration
+}
+
+// Scenario is what is done while the traffic runs. It returns early when ctx
+// ends.
+type Scenario struct {
+	Name string
+	What string
+	Do   func(ctx context.Context, r *Rig) error
+	// Seconds the traffic needs at least.
+	Seconds int
+}
+
+func (r *Rig) say(f string, a ...any) { fmt.Fprintf(r.P.Out, f+"\n", a...) }
+
+// Note writes an event down.
+func (r *Rig) Note(k judge.EventKind, id string, ver uint64) {
+	r.mu.Lock()
+	r.events = append(r.events, judge.Event{At: time.Now(), Kind: k, ID: id, Ver: ver})
+	r.mu.Unlock()
+	r.say("  %s %s", k, id)
+}
+
+// Run starts a fleet, runs the scenario under traffic, and judges.
+func Run(ctx context.Context, p Params, s Scenario) (*Result, error) {
+	f, err := fleet.New(p.Fleet)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	r := &Rig{P: p, F: f}
+	r.Crowd = origin.New(origin.Kinds(p.Fleet.Deploy), p.Fleet.Seed, r.edges)
+	r.say("%s: %s (seed %d, net 127.%d)", s.Name, s.What, p.Fleet.Seed, f.P.Net)
+	if err := f.Start(ctx); err != nil {
+		return nil, err
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { loop.Every(ctx, 200*time.Millisecond, nil, r.sample) })
+	traffic := make(chan struct{})
+	wg.Go(func() {
+		defer close(traffic)
+		r.Crowd.Run(ctx, time.Duration(max(p.Seconds, s.Seconds))*time.Second, p.Scale)
+	})
+	// A little quiet traffic first, so that a failure has something to break.
+	loop.Wait(ctx, 2*time.Second)
+	if err := s.Do(ctx, r); err != nil {
+		return nil, fmt.Errorf("%s: %w", s.Name, err)
+	}
+	<-traffic
+	if err := r.read(); err != nil {
+		return nil, fmt.Errorf("spec at the end: %w", err)
+	}
+	res := r.result(s.Name)
+	stop()
+	wg.Wait()
+	return res, nil
+}
+
+// edges is where the platform sends a client: its own zone first.
+func (r *Rig) edges(zone string) []string {
+	var near, far []string
+	for _, m := range r.F.Of("edge") {
+		if m.Zone == zone {
+			near = append(near, m.HTTP())
+		} else {
+			far = append(far, m.HTTP())
+		}
+	}
+	return append(near, far...)
+}
+
+// sample asks every edge for the spec that it has in force.
+func (r *Rig) sample(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, m := range r.F.Of("edge") {
+		wg.Go(func() {
+			at := time.Now()
+			if s, err := r.F.Status(m); err == nil && s.Ready && ctx.Err() == nil {
+				r.mu.Lock()
+				r.samples = append(r.samples, judge.Sample{At: at, ID: m.ID, Ver: s.Spec})
+				r.mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+}
+
+type ack struct {
+	Version uint64   `json:"version"`
+	Code    int      `json:"code"`
+	Name    string   `json:"name"`
+	Waiting []string `json:"waiting"`
+	Problem string   `json:"problem"`
+}
+
+// Change makes an operator's change and writes its acknowledgement down.
+func (r *Rig) Change(method, path string, body any) (int, ack, error) {
+	var a ack
+	st, err := r.F.Operate(method, path, body, &a)
+	if err == nil && st == http.StatusOK {
+		r.Note(judge.Acked, path, a.Version)
+	}
+	return st, a, err
+}
+
+// Zone empties or refills a zone.
+func (r *Rig) Zone(zone string, empty bool) error {
+	path, kind := "/v1/zones/"+zone+"/refill", judge.Refill
+	if empty {
+		path, kind = "/v1/zones/"+zone+"/empty", judge.Empty
+	} else {
+		// From here on work may come, whenever the change is in force.
+		r.Note(kind, zone, 0)
+	}
+	st, a, err := r.Change(http.MethodPost, path, nil)
+	if err != nil {
+		return err
+	}
+	if st != http.StatusOK {
+		return fmt.Errorf("%s: status %d, %d %s, waiting for %v", path, st, a.Code, a.Problem, a.Waiting)
+	}
+	if empty {
+		r.Note(kind, zone, 0)
+	}
+	return nil
+}
+
+// Kill ends a machine's process as a crash would.
+func (r *Rig) Kill(id string) error {
+	r.Note(judge.Hard, "kill "+id, 0)
+	if !r.F.Get(id).Kill() {
+		return fmt.Errorf("%s did not run", id)
+	}
+	return nil
+}
+
+// Start starts a machine again.
+func (r *Rig) Start(id string) error {
+	r.say("  start %s", id)
+	return r.F.Get(id).Start(false)
+}
+
+// Quit stops a machine in an orderly way.
+func (r *Rig) Quit(id string) error {
+	m := r.F.Get(id)
+	r.Note(judge.Stopping, m.HTTP(), 0)
+	if !m.Quit() {
+		return fmt.Errorf("%s did not run", id)
+	}
+	r.Note(judge.Stopped, m.HTTP(), 0)
+	return nil
+}
+
+// Freeze stops a machine's process where it stands; Thaw lets it go on.
+func (r *Rig) Freeze(id string) error {
+	r.Note(judge.Hard, "freeze "+id, 0)
+	if !r.F.Get(id).Signal(syscall.SIGSTOP) {
+		return fmt.Errorf("%s does not run", id)
+	}
+	return nil
+}
+
+// Thaw wakes it.
+func (r *Rig) Thaw(id string) error {
+	r.say("  thaw %s", id)
+	if !r.F.Get(id).Signal(syscall.SIGCONT) {
+		return fmt.Errorf("%s does not run", id)
+	}
+	return nil
+}
+
+// Drain lets a runner say that it leaves; Return brings it back anew.
+func (r *Rig) Drain(name string) *runner.Runner {
+	n := r.Runner(name)
+	n.Drain()
+	r.Note(judge.Drained, name, 0)
+	return n
+}
+
+// Return brings a drained runner back as a fresh process.
+func (r *Rig) Return(name string) error {
+	n := r.Runner(name)
+	n.Stop()
+	r.Note(judge.Back, name, 0)
+	return n.Start()
+}
+
+// Runner finds a stand-in.
+func (r *Rig) Runner(name string) *runner.Runner {
+	for _, n := range r.F.Runners {
+		if n.P.Name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// Wait lets time pass under traffic.
+func (r *Rig) Wait(ctx context.Context, d time.Duration) { loop.Wait(ctx, d) }
+
+func (r *Rig) read() error {
+	var s struct {
+		Version uint64 `json:"version"`
+	}
+	st, err := r.F.Operate(http.MethodGet, "/v1/spec", nil, &s)
+	if err != nil {
+		return err
+	}
+	if st != http.StatusOK {
+		return fmt.Errorf("status %d", st)
+	}
+	r.Note(judge.FinalRead, "", s.Version)
+	return nil
+}
+
+func (r *Rig) result(name string) *Result {
+	c := judge.Case{Spec: &r.F.Spec, Asks: r.Crowd.Ledger(), Most: r.Crowd.Most}
+	for _, n := range r.F.Runners {
+		for _, e := range n.Ledger() {
+			c.Runs = append(c.Runs, judge.Run{Entry: e, Runner: n.P.Runner})
+		}
+	}
+	r.mu.Lock()
+	c.Events = append(c.Events, r.events...)
+	c.Samples = append(c.Samples, r.samples...)
+	r.mu.Unlock()
+	res := &Result{Scenario: name, Seed: r.P.Fleet.Seed, Verdict: judge.Judge(c), Asks: len(c.Asks), Runs: len(c.Runs), Codes: map[string]int{}}
+	for _, a := range c.Asks {
+		switch {
+		case a.Lost:
+			res.Codes["lost"]++
+		case a.Refused:
+			res.Codes["port refused"]++
+		case a.Status == http.StatusOK:
+			res.Codes["ok"]++
+			if a.Held {
+				res.Held++
+			}
+			if a.Urgent {
+				res.Urgent = append(res.Urgent, a.Done.Sub(a.Sent))
+			}
+		default:
+			res.Codes[a.Name]++
+		}
+	}
+	for _, e := range c.Runs {
+		if e.Refused {
+			res.Early++
+		}
+	}
+	for _, e := range c.Events {
+		if e.Kind == judge.Hard {
+			if d, ok := c.BackAfter(e.At); ok {
+				res.Back = append(res.Back, Back{e.ID, d})
+			} else {
+				res.Back = append(res.Back, Back{e.ID, -1})
+			}
+		}
+	}
+	for _, m := range r.F.Of("edge") {
+		if s, err := r.F.Status(m); err == nil {
+			res.Rounds += s.Rounds
+			res.Sent += s.Sent
+		}
+	}
+	return res
+}
--- /dev/null
+++ b/kit/runner/runner.go
@@ -0,0 +1,376 @@
+// Package runner is a stand-in back end: it bears so much, reports it, refuses
+// when full, misbehaves on order, and writes down all that it does.
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"damsontiller/pass/report"
+	"damsontiller/proto/spec"
+)
+
+// Order is a way to misbehave with the next jobs.
+type Order string
+
+// The orders.
+const (
+	Refuse     Order = "refuse"      // 429, no Retry-After
+	RefuseSecs Order = "refuse-secs" // 429 with seconds
+	RefuseDate Order = "refuse-date" // 429 with a date, by a clock an hour wrong
+	Raise      Order = "raise"       // 503 with one of the six strings
+	Lose       Order = "lose"        // run, then drop the connection
+	Cut        Order = "cut"         // run, then break the answer off halfway
+	Mix        Order = "mix"         // run, then answer for another job
+	Slow       Order = "slow"        // run for two seconds longer
+)
+
+// Entry is one line of the ledger.
+type Entry struct {
+	Job, Work, Program string
+	Arrived            time.Time
+	Ran                bool // the work was done
+	Output             int64
+	Refused            bool
+	Wait               time.Duration // named, or the least a cooldown may be
+	Answered           time.Time
+	Over               bool // came in while all that it bears was taken
+	Fresh              bool // at that time it was still coming up
+	Left               bool // came in after it had said that it drains
+}
+
+// Params shape a stand-in.
+type Params struct {
+	spec.Runner
+	Model bool
+	Bears int
+	// Up: bears 2 at first, doubling each second until Bears.
+	Up     bool
+	Take   time.Duration // mean time of a job
+	Seed   uint64
+	Prefix int // prefixes held
+}
+
+// Runner is one stand-in.
+type Runner struct {
+	P   Params
+	srv *http.Server
+
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	start    time.Time
+	busy     int
+	refused  int64
+	orders   []Order
+	strikes  int
+	ledger   []Entry
+	prefixes []string
+	drained  time.Time
+	gen      int // of the process this stands for
+}
+
+// New makes a stand-in; Start lets it serve.
+func New(p Params) *Runner {
+	return &Runner{P: p, rnd: rand.New(rand.NewPCG(p.Seed, 7))}
+}
+
+// Start listens at its address.
+func (r *Runner) Start() error {
+	ln, err := net.Listen("tcp", r.P.Addr)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/report", r.report)
+	mux.HandleFunc("POST /v1/run", r.run)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	r.mu.Lock()
+	r.srv, r.start, r.drained, r.busy, r.prefixes = srv, time.Now(), time.Time{}, 0, nil
+	r.mu.Unlock()
+	go func() { _ = srv.Serve(ln) }()
+	return nil
+}
+
+// Stop ends it at once, as a crash would.
+func (r *Runner) Stop() {
+	r.mu.Lock()
+	r.gen++
+	srv := r.srv
+	r.mu.Unlock()
+	if srv != nil {
+		_ = srv.Close()
+	}
+}
+
+// Drain says that it leaves; it goes on with what it has.
+func (r *Runner) Drain() {
+	r.mu.Lock()
+	r.drained = time.Now()
+	r.mu.Unlock()
+}
+
+// Give adds orders for the next jobs, one each.
+func (r *Runner) Give(os ...Order) {
+	r.mu.Lock()
+	r.orders = append(r.orders, os...)
+	r.mu.Unlock()
+}
+
+// Undone is how many orders no job has met yet.
+func (r *Runner) Undone() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.orders)
+}
+
+// Ledger is a copy of all that was written down.
+func (r *Runner) Ledger() []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Entry(nil), r.ledger...)
+}
+
+// Drained is when it said that it leaves.
+func (r *Runner) Drained() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.drained
+}
+
+func (r *Runner) bears() int {
+	if !r.P.Up {
+		return r.P.Bears
+	}
+	b := 2 << min(int(time.Since(r.start)/time.Second), 16)
+	return min(b, r.P.Bears)
+}
+
+func (r *Runner) report(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	rep := report.Report{Name: r.P.Name, State: report.Ready, Bears: r.bears(), Busy: r.busy, UpMs: time.Since(r.start).Milliseconds(), Refused: r.refused, Prefixes: append([]string(nil), r.prefixes...)}
+	if !r.drained.IsZero() {
+		rep.State = report.Draining
+	}
+	r.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(rep)
+}
+
+// Work finds the caller's mark in a job's words.
+func Work(words string) string {
+	_, rest, ok := strings.Cut(words, "work:")
+	if !ok {
+		return ""
+	}
+	w, _, _ := strings.Cut(rest, ";")
+	return w
+}
+
+// Digest is what a stand-in model answers about a history, so that a caller
+// sees whether any of it was forgotten.
+func Digest(history any) string {
+	b, err := json.Marshal(history)
+	if err != nil {
+		return "none"
+	}
+	var lines []map[string]string
+	if json.Unmarshal(b, &lines) != nil {
+		return "none"
+	}
+	h := fnv.New64a()
+	for _, l := range lines {
+		fmt.Fprintf(h, "%s|%s|", l["words"], l["answer"])
+	}
+	return fmt.Sprintf("%d-%x", len(lines), h.Sum64())
+}
+
+func (r *Runner) run(w http.ResponseWriter, q *http.Request) {
+	var j report.Run
+	if err := json.NewDecoder(q.Body).Decode(&j); err != nil {
+		http.Error(w, "{}", http.StatusBadRequest)
+		return
+	}
+	now := time.Now()
+	e := Entry{Job: j.Job, Work: Work(j.Words), Program: j.Program, Arrived: now}
+	r.mu.Lock()
+	var o Order
+	full := r.busy >= r.bears()
+	e.Over, e.Fresh = full, r.P.Up && r.bears() < r.P.Bears
+	switch {
+	case !r.drained.IsZero():
+		e.Left, e.Refused, e.Over = true, false, false
+		r.ledger = append(r.ledger, e)
+		r.mu.Unlock()
+		problem(w, http.StatusServiceUnavailable, "Draining", "going away", report.Draining)
+		return
+	case full:
+		o = Refuse
+	case len(r.orders) > 0:
+		o, r.orders = r.orders[0], r.orders[1:]
+	}
+	if o == Refuse || o == RefuseSecs || o == RefuseDate || o == Raise {
+		e.Refused, e.Wait = true, time.Second
+		r.refused++
+		r.strikes++
+		n := r.strikes
+		switch o {
+		case RefuseSecs:
+			e.Wait = 2 * time.Second
+			w.Header().Set("Retry-After", "2")
+		case RefuseDate:
+			// By a clock an hour wrong: only the difference to Date counts.
+			wrong := now.Add(time.Hour).Truncate(time.Second).UTC()
+			e.Wait = 3 * time.Second
+			w.Header().Set("Date", wrong.Format(http.TimeFormat))
+			w.Header().Set("Retry-After", wrong.Add(3*time.Second).Format(http.TimeFormat))
+		}
+		e.Answered = time.Now()
+		r.ledger = append(r.ledger, e)
+		r.mu.Unlock()
+		if o == Raise {
+			problem(w, http.StatusServiceUnavailable, "UpstreamError", raised[n%len(raised)], "")
+			return
+		}
+		problem(w, http.StatusTooManyRequests, "Busy", "later", "")
+		return
+	}
+	r.busy++
+	gen := r.gen
+	held := r.hold(j.Parts)
+	take := r.P.Take/2 + time.Duration(r.rnd.Int64N(int64(r.P.Take)))
+	if r.P.Model && !held {
+		take += r.P.Take / 2
+	}
+	out := int64(0)
+	if r.P.Model {
+		out = 1 + r.rnd.Int64N(max(j.MaxOutput, 1))
+	}
+	r.mu.Unlock()
+	if o == Slow {
+		take += 2 * time.Second
+	}
+	// A stand-in finishes its work whether or not its caller is still there.
+	t := time.NewTimer(take)
+	<-t.C
+	e.Ran, e.Output = true, out
+	ans := report.Ran{Job: j.Job, Text: fmt.Sprintf("work:%s;history:%s;end", e.Work, Digest(j.History)), Output: out, Held: held}
+	r.mu.Lock()
+	if gen != r.gen {
+		// The process died with this work half done.
+		r.mu.Unlock()
+		return
+	}
+	r.busy--
+	ans.Prefixes = append([]string(nil), r.prefixes...)
+	e.Answered = time.Now()
+	r.ledger = append(r.ledger, e)
+	r.mu.Unlock()
+	if o == Mix {
+		ans.Job = "someone-else"
+	}
+	b, err := json.Marshal(ans)
+	if err != nil {
+		return
+	}
+	if o == Lose {
+		hijack(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	if o == Cut {
+		_, _ = w.Write(b[:len(b)/2])
+		if f, ok := w.(http.Flusher); ok {
+			f.Flush()
+		}
+		hijack(w)
+		return
+	}
+	_, _ = w.Write(b)
+}
+
+var raised = []string{"error 429 upstream", "Rate Limit hit", "RateLimit hit", "Too Many Requests now", "please throttle", "Quota Exceeded for key"}
+
+func problem(w http.ResponseWriter, status int, typ, msg, state string) {
+	var p report.Problem
+	p.Error.Type, p.Error.Message, p.State = typ, msg, state
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// hijack drops the connection with no further word.
+func hijack(w http.ResponseWriter) {
+	if h, ok := w.(http.Hijacker); ok {
+		if c, _, err := h.Hijack(); err == nil {
+			if t, ok := c.(*net.TCPConn); ok {
+				_ = t.SetLinger(0)
+			}
+			c.Close()
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// hold tells whether the whole prefix is held, and takes in every run of
+// leading parts.
+func (r *Runner) hold(parts []string) bool {
+	held := len(parts) > 0
+	for i := range parts {
+		key := strings.Join(parts[:i+1], "+")
+		if slices.Contains(r.prefixes, key) {
+			continue
+		}
+		held = false
+		r.prefixes = append(r.prefixes, key)
+	}
+	if n := max(r.P.Prefix, 16); len(r.prefixes) > n {
+		r.prefixes = r.prefixes[len(r.prefixes)-n:]
+	}
+	return held
+}
+
+// Platform is the platform's lagging list.
+type Platform struct {
+	Addr string
+	Lag  time.Duration
+	mu   sync.Mutex
+	list []report.Listed
+	srv  *http.Server
+}
+
+// Set replaces the list, seen after the lag.
+func (p *Platform) Set(l []report.Listed) {
+	time.AfterFunc(p.Lag, func() {
+		p.mu.Lock()
+		p.list = l
+		p.mu.Unlock()
+	})
+}
+
+// Start serves the list until ctx ends.
+func (p *Platform) Start(ctx context.Context) error {
+	ln, err := net.Listen("tcp", p.Addr)
+	if err != nil {
+		return err
+	}
+	p.srv = &http.Server{ReadHeaderTimeout: 5 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(report.Platform{Runners: p.list})
+	})}
+	go func() { _ = p.srv.Serve(ln) }()
+	context.AfterFunc(ctx, func() { _ = p.srv.Close() })
+	return nil
+}
--- /dev/null
+++ b/pass/call/call.go
@@ -0,0 +1,232 @@
+// Package call passes a job to its runner and judges what comes back.
+package call
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"damsontiller/pass/cool"
+	"damsontiller/pass/elect"
+	"damsontiller/pass/herd"
+	"damsontiller/pass/job"
+	"damsontiller/pass/report"
+	"damsontiller/xport/code"
+)
+
+// MaxAnswer bounds a runner's answer.
+const MaxAnswer = 1 << 20
+
+// Tries bounds how often one job is passed.
+const Tries = 4
+
+// Caller is the end of the way.
+type Caller struct {
+	Desk *cool.Desk
+	Dir  *elect.Dir
+	// MayServe tells whether this node may act on the spec it has.
+	MayServe func() bool
+	// Leaves tells the dealer that a runner seems to leave.
+	Leaves func(runner, why string)
+	Web    *http.Client
+	// Avoid is how long a runner seen leaving is not elected here.
+	Avoid time.Duration
+}
+
+// NewWeb makes the client for runners.
+func NewWeb() *http.Client {
+	d := &net.Dialer{Timeout: time.Second}
+	return &http.Client{
+		Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second, DisableCompression: true},
+		// A redirect would pass the job to somebody who was not elected.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Again passes a job once more where nothing stands against it.
+type Again struct{ Room time.Duration }
+
+// Do is the policy.
+func (p Again) Do(c *job.Ctx, next job.Next) job.Answer {
+	for try := 1; ; try++ {
+		a := next(c)
+		if !a.Again || try == Tries || !c.Fits(a.Wait, p.Room) {
+			return a
+		}
+	}
+}
+
+// Cool reads the deadline of the elected runner's key right before the call.
+type Cool struct{ Desk *cool.Desk }
+
+// Do is the policy. Where the wait fits, the job goes back to the backlog and
+// waits there; where it does not, the caller is told at once.
+func (p Cool) Do(c *job.Ctx, next job.Next) job.Answer {
+	w, err := p.Desk.Look(c, c.Runner.Cool)
+	if err != nil {
+		// Calling early must never happen; not calling is allowed.
+		a := job.Bad(code.TierAway, "the cooldown could not be read: %w", err)
+		a.Wait = time.Second
+		return a
+	}
+	if w > 0 {
+		a := cool.Cooling(w)
+		a.Again = true
+		return a
+	}
+	return next(c)
+}
+
+// Do passes the job.
+func (p *Caller) Do(c *job.Ctx) job.Answer {
+	// Checked by the monotonic clock right before the pass: a process that was
+	// frozen wakes up here.
+	if !p.MayServe() {
+		a := job.Bad(code.HoldPassed, "cut off from the core for longer than the hold")
+		a.Wait = time.Second
+		return a
+	}
+	if c.Err() != nil {
+		return job.Bad(code.CutoffPassed, "the caller has gone")
+	}
+	body, err := json.Marshal(report.Run{Job: c.ID, Route: c.Route, Program: c.Program, Class: c.Class, Parts: c.Parts,
+		History: c.History, Words: c.Words, MaxOutput: c.Most, CutoffMs: c.Left().Milliseconds()})
+	if err != nil {
+		return job.Bad(code.BadField, "%w", err)
+	}
+	ctx, stop := context.WithDeadline(c, c.Cutoff)
+	defer stop()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Runner.Addr+"/v1/run", io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return job.Bad(code.RunnerProblem, "%w", err)
+	}
+	// With no way to rewind the body, net/http never sends it twice.
+	q.ContentLength = int64(len(body))
+	q.Header.Set("Content-Type", "application/json")
+	q.Header.Set("X-Damsontiller-Job", c.ID)
+	r, err := p.Web.Do(q)
+	if err != nil {
+		return p.lost(c, err)
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(r.Body, MaxAnswer+1))
+	if err != nil || len(b) > MaxAnswer {
+		if r.StatusCode == http.StatusOK {
+			return p.doubt(c, code.NotWhole, "the answer broke off", err)
+		}
+		// A refusal's status stands even if its words are cut.
+		b = nil
+	}
+	if r.StatusCode == http.StatusOK {
+		return p.whole(c, b)
+	}
+	return p.refused(c, r, b)
+}
+
+// lost sorts out a call without an answer.
+func (p *Caller) lost(c *job.Ctx, err error) job.Answer {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		// No byte was sent: surely not run.
+		if herd.Refused(err) {
+			p.leaves(c, "port refused")
+		} else {
+			p.Dir.Avoid(c.Runner.Ix, p.Avoid)
+		}
+		a := job.Bad(code.NoRunner, "runner %s can't be reached", c.Runner.Name)
+		a.Again, a.Wait = true, 0
+		return a
+	}
+	if cool.Raised("", err.Error()) {
+		p.Desk.Install(c, c.Runner.Cool, 0)
+	}
+	return p.doubt(c, code.OutcomeUnknown, "no answer came", err)
+}
+
+// doubt answers for a job that may have run. Only one that may be repeated is
+// passed again.
+func (p *Caller) doubt(c *job.Ctx, n code.Code, what string, err error) job.Answer {
+	if err != nil {
+		c.Log.Debug("answer lost", "job", c.ID, "runner", c.Runner.Name, "err", err)
+	}
+	a := job.Bad(n, "%s from runner %s", what, c.Runner.Name)
+	// A lost turn's output is spent unseen; one budget can't cover a second.
+	a.Again = c.Key == "" && c.Conv == ""
+	return a
+}
+
+func (p *Caller) leaves(c *job.Ctx, why string) {
+	p.Dir.Avoid(c.Runner.Ix, p.Avoid)
+	p.Leaves(c.Runner.Name, why)
+}
+
+// whole takes an answer only if it is all there and answers this job.
+func (p *Caller) whole(c *job.Ctx, b []byte) job.Answer {
+	var r report.Ran
+	if err := json.Unmarshal(b, &r); err != nil {
+		return p.doubt(c, code.NotWhole, "an answer that can't be read", err)
+	}
+	if r.Job != c.ID {
+		return p.doubt(c, code.NotWhole, "another job's answer", nil)
+	}
+	if r.Output < 0 {
+		return p.doubt(c, code.NotWhole, "a negative output", nil)
+	}
+	c.Spent = r.Output
+	p.Dir.Holds(c.Runner.Ix, r.Prefixes)
+	out := map[string]any{"job": c.ID, "text": r.Text, "output": r.Output, "held": r.Held, "runner": c.Runner.Name}
+	if c.Conv != "" {
+		out["turn"] = c.ID
+	}
+	body, err := json.Marshal(out)
+	if err != nil {
+		return p.doubt(c, code.NotWhole, "an answer that can't be passed on", err)
+	}
+	return job.Good(body)
+}
+
+// refused sorts out an answer that is no success. By the runners' contract a
+// 4xx or 503 means that nothing ran.
+func (p *Caller) refused(c *job.Ctx, r *http.Response, b []byte) job.Answer {
+	var pr report.Problem
+	_ = json.Unmarshal(b, &pr) // words are a bonus; the status decides
+	clear := r.StatusCode/100 == 4 || r.StatusCode == http.StatusServiceUnavailable
+	if c.View.Spec.Cooldown.Refusal(r.StatusCode) {
+		// A returned refusal: installed for all, and handed back unretried.
+		a := job.Bad(code.RunnerDrop, "runner %s refused with status %d", c.Runner.Name, r.StatusCode)
+		a.Wait = p.Desk.Install(c, c.Runner.Cool, cool.RetryAfter(r.Header))
+		return a
+	}
+	if pr.State == report.Draining {
+		p.leaves(c, "it drains")
+		a := job.Bad(code.NoRunner, "runner %s drains", c.Runner.Name)
+		a.Again = true
+		return a
+	}
+	if cool.Raised(pr.Error.Type, pr.Error.Message) {
+		// A raised one: installed for all, and tried again after the cooldown
+		// if it surely did not run or may run twice.
+		w := p.Desk.Install(c, c.Runner.Cool, cool.RetryAfter(r.Header))
+		if clear {
+			a := cool.Cooling(w)
+			a.Again = true
+			return a
+		}
+		a := p.doubt(c, code.OutcomeUnknown, "a rate limit raised halfway", nil)
+		a.Wait = w
+		return a
+	}
+	if clear {
+		a := job.Bad(code.NoRunner, "runner %s refused with status %d", c.Runner.Name, r.StatusCode)
+		// It would refuse again at once; another may not.
+		p.Dir.Avoid(c.Runner.Ix, p.Avoid/10)
+		a.Again, a.Wait = r.StatusCode == http.StatusServiceUnavailable, 0
+		return a
+	}
+	return p.doubt(c, code.RunnerProblem, "status "+http.StatusText(r.StatusCode), nil)
+}
--- /dev/null
+++ b/pass/cool/cool.go
@@ -0,0 +1,350 @@
+// Package cool is the shared cooldown: one deadline for each protected call,
+// seen by every session worker, installed for all by any worker's refusal.
+// docs/cooldown.md names the source and says what was kept and what changed.
+package cool
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"damsontiller/coord/node"
+	"damsontiller/coord/tier"
+	"damsontiller/pass/job"
+	"damsontiller/proto/reg"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// Params are the worker's times.
+type Params struct {
+	Read  time.Duration // cutoff of a look at the deadline
+	Write time.Duration // cutoff of installing one
+	Room  time.Duration // what a call itself needs after a wait
+}
+
+// DefaultParams are the design's.
+var DefaultParams = Params{Read: 150 * time.Millisecond, Write: time.Second, Room: 100 * time.Millisecond}
+
+// Desk reads and installs cooldowns for the workers of this node.
+type Desk struct {
+	p    Params
+	n    *node.Node
+	t    *tier.Tier
+	kick loop.Kick
+
+	mu sync.Mutex
+	// until is what this node has seen, on its own clock. It only ever saves
+	// a look: a deadline seen is in force, one not seen proves nothing.
+	until map[string]time.Time
+	// kept are refusals that could not be written yet.
+	kept map[string]time.Time
+	seq  uint64
+	// installs counts cooldowns written.
+	installs uint64
+}
+
+// New makes the desk and listens for what others spread.
+func New(p Params, n *node.Node, t *tier.Tier) *Desk {
+	d := &Desk{p: p, n: n, t: t, kick: loop.NewKick(), until: map[string]time.Time{}, kept: map[string]time.Time{}}
+	n.Board.OnBrief("cool", d.hear)
+	return d
+}
+
+// value is what the register holds: how long to wait, counted by each store
+// from when it took the value.
+type value struct {
+	Step   int   `json:"step"`
+	WaitMs int64 `json:"wait_ms"`
+}
+
+func regKey(key string) string { return "cool/" + key }
+
+// Key is the cooldown key of a call: the account where one is named, else the
+// tool's route or the model server.
+func Key(s *spec.Spec, r spec.Runner) string {
+	acct, model := r.Account, false
+	for _, t := range s.Routes {
+		if t.Name == r.Route {
+			model = t.Model
+			if acct == "" {
+				acct = t.Account
+			}
+		}
+	}
+	switch {
+	case acct != "":
+		return "account/" + acct
+	case model:
+		return "server/" + r.Name
+	}
+	return "route/" + r.Route
+}
+
+// Seen is the wait as far as this node knows without asking.
+func (d *Desk) Seen(key string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u, ok := d.until[key]
+	if !ok {
+		return 0
+	}
+	w := time.Until(u)
+	if w <= 0 {
+		delete(d.until, key)
+		return 0
+	}
+	return w
+}
+
+func (d *Desk) see(key string, w time.Duration) {
+	if w <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// A merge never shortens.
+	if u := time.Now().Add(w); u.After(d.until[key]) {
+		d.until[key] = u
+	}
+}
+
+// Look reads the deadline at a majority. Without one there is no answer, and
+// the call must not be made.
+func (d *Desk) Look(ctx context.Context, key string) (time.Duration, error) {
+	if w := d.Seen(key); w > 0 {
+		return w, nil
+	}
+	ctx, stop := context.WithTimeout(ctx, d.p.Read)
+	defer stop()
+	st, err := d.t.Read(ctx, regKey(key))
+	if err != nil {
+		return 0, err
+	}
+	w, _, err := remains(st)
+	d.see(key, w)
+	return w, err
+}
+
+func remains(st reg.State) (time.Duration, value, error) {
+	var v value
+	if len(st.Val) == 0 {
+		return 0, v, nil
+	}
+	if err := json.Unmarshal(st.Val, &v); err != nil {
+		return 0, v, code.New(code.Garbled, "cooldown: %w", err)
+	}
+	return max(time.Duration(v.WaitMs)*time.Millisecond-st.Age, 0), v, nil
+}
+
+// Next works out the value after one more refusal. Refusals within one
+// cooldown are one step; after a quiet spell the steps start again.
+func next(c *spec.Cooldown, st reg.State, floor time.Duration) (value, bool, error) {
+	left, v, err := remains(st)
+	if err != nil {
+		return v, false, err
+	}
+	if left > 0 {
+		// Retry-After is a floor: a longer one lengthens, none shortens.
+		if floor <= left {
+			return v, false, nil
+		}
+		return value{v.Step, floor.Milliseconds()}, true, nil
+	}
+	step := v.Step + 1
+	if len(st.Val) == 0 || st.Age-time.Duration(v.WaitMs)*time.Millisecond > c.Quiet() {
+		step = 1
+	}
+	wait := c.First()
+	for i := 1; i < step && wait < c.Cap(); i++ {
+		wait *= 2
+	}
+	wait = max(min(wait, c.Cap()), floor)
+	return value{min(step, 30), wait.Milliseconds()}, true, nil
+}
+
+// Install puts a refusal in force for all and gives the wait. It returns once
+// the cooldown is written, or once its writing has failed by the cutoff; then
+// it is spread by the tree, kept, and written when the tier is back.
+func (d *Desk) Install(ctx context.Context, key string, floor time.Duration) time.Duration {
+	c := d.n.Realm.Now().Spec.Cooldown
+	// This node stops at once, whatever becomes of the write.
+	d.see(key, max(floor, c.First()))
+	w, err := d.write(ctx, key, floor)
+	if err != nil {
+		w = d.Seen(key)
+		d.mu.Lock()
+		d.kept[key] = time.Now().Add(w)
+		d.mu.Unlock()
+		d.n.Log.Warn("cooldown kept until the tier is back", "key", key, "wait", w, "err", err)
+	}
+	d.see(key, w)
+	d.tell(key, w)
+	return w
+}
+
+func (d *Desk) write(ctx context.Context, key string, floor time.Duration) (time.Duration, error) {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), d.p.Write)
+	defer stop()
+	c := d.n.Realm.Now().Spec.Cooldown
+	var wait time.Duration
+	st, err := d.t.Change(ctx, regKey(key), func(st reg.State) ([]byte, bool, error) {
+		v, changed, err := next(&c, st, floor)
+		if err != nil {
+			return nil, false, err
+		}
+		if !changed {
+			wait, _, _ = remains(st)
+			return nil, false, errInForce
+		}
+		b, err := json.Marshal(v)
+		return b, true, err
+	})
+	if errors.Is(err, errInForce) {
+		return wait, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	d.mu.Lock()
+	d.installs++
+	d.mu.Unlock()
+	wait, _, err = remains(st)
+	return wait, err
+}
+
+var errInForce = code.New(code.Cooling, "a longer cooldown is in force")
+
+type spread struct {
+	Key    string `json:"key"`
+	WaitMs int64  `json:"wait_ms"`
+}
+
+// tell spreads what was installed, so that others need not ask to know.
+func (d *Desk) tell(key string, w time.Duration) {
+	d.mu.Lock()
+	d.seq++
+	i := &wire.Item{Topic: "cool", Key: d.n.Peer.Self.Id + "/" + key, Epoch: d.n.Peer.Self.Inc, Seq: d.seq}
+	d.mu.Unlock()
+	i.Body, _ = json.Marshal(spread{key, w.Milliseconds()})
+	go d.n.Board.Publish(context.Background(), i)
+}
+
+func (d *Desk) hear(i *wire.Item) error {
+	var s spread
+	if err := json.Unmarshal(i.Body, &s); err != nil {
+		return code.New(code.Garbled, "cool: %w", err)
+	}
+	d.see(s.Key, time.Duration(s.WaitMs)*time.Millisecond)
+	return nil
+}
+
+// Run writes kept refusals once the tier takes them.
+func (d *Desk) Run(ctx context.Context) {
+	loop.Every(ctx, 250*time.Millisecond, d.kick, func(ctx context.Context) {
+		d.mu.Lock()
+		todo := map[string]time.Time{}
+		for k, u := range d.kept {
+			todo[k] = u
+		}
+		d.mu.Unlock()
+		for k, u := range todo {
+			left := time.Until(u)
+			if left > 0 {
+				if _, err := d.write(ctx, k, left); err != nil {
+					continue
+				}
+			}
+			d.mu.Lock()
+			if d.kept[k].Equal(u) {
+				delete(d.kept, k)
+			}
+			d.mu.Unlock()
+		}
+	})
+}
+
+// Door refuses at once, before anything is written, a job whose every runner
+// is known to be cooling for longer than the job can wait.
+type Door struct {
+	D *Desk
+	// Keys lists the cooldown keys that could serve the job.
+	Keys func(*job.Ctx) []string
+}
+
+// Do is the policy.
+func (p Door) Do(c *job.Ctx, next job.Next) job.Answer {
+	least := time.Duration(-1)
+	for _, k := range p.Keys(c) {
+		if w := p.D.Seen(k); least < 0 || w < least {
+			least = w
+		}
+	}
+	if least > 0 && !c.Fits(least, p.D.p.Room) {
+		return Cooling(least)
+	}
+	return next(c)
+}
+
+// Cooling is the answer that tells when to come back.
+func Cooling(w time.Duration) job.Answer {
+	a := job.Bad(code.Cooling, "cooling down for %d ms", w.Milliseconds())
+	a.Wait = w
+	return a
+}
+
+// Count is how many cooldowns this node has written.
+func (d *Desk) Count() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.installs
+}
+
+// Room is what a call needs after a wait.
+func (d *Desk) Room() time.Duration { return d.p.Room }
+
+var words = []string{"429", "rate limit", "ratelimit", "too many requests", "throttle", "quota exceeded"}
+
+// Raised tells whether a raised problem is a rate limit, by its message or its
+// type's name.
+func Raised(typ, msg string) bool {
+	for _, s := range []string{strings.ToLower(typ), strings.ToLower(msg)} {
+		for _, w := range words {
+			if strings.Contains(s, w) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// RetryAfter reads a Retry-After header, in seconds or as a date. A date is
+// read against the same server's own Date, so that no two clocks are compared.
+func RetryAfter(h http.Header) time.Duration {
+	s := strings.TrimSpace(h.Get("Retry-After"))
+	if s == "" {
+		return 0
+	}
+	if n, err := strconv.ParseFloat(s, 64); err == nil {
+		if n <= 0 || n != n {
+			return 0
+		}
+		return time.Duration(min(n, 24*3600) * float64(time.Second))
+	}
+	at, err := http.ParseTime(s)
+	if err != nil {
+		return 0
+	}
+	from, err := http.ParseTime(h.Get("Date"))
+	if err != nil {
+		from = time.Now()
+	}
+	return min(max(at.Sub(from), 0), 24*time.Hour)
+}
--- /dev/null
+++ b/pass/door/door.go
@@ -0,0 +1,313 @@
+// Package door takes callers' requests: it checks and parses them, fixes their
+// cutoff, and turns answers into HTTP.
+package door
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
+
+	"damsontiller/coord/realm"
+	"damsontiller/coord/web"
+	"damsontiller/pass/job"
+	"damsontiller/proto/spec"
+	"damsontiller/xport/code"
+)
+
+// Headers that callers send.
+const (
+	HProgram = "X-Damsontiller-Program"
+	HLeft    = "X-Damsontiller-Program-Time-Remaining"
+	HWait    = "X-Damsontiller-Wait"
+	HKey     = "Idempotency-Key"
+)
+
+// Params bound what is taken.
+type Params struct {
+	MaxBody int64
+	Wait    time.Duration // where the caller names none
+	MaxWait time.Duration
+	// Margin is kept back so that the answer is there before the wait is over.
+	Margin    time.Duration
+	MaxParts  int
+	MaxOutput int64
+}
+
+// DefaultParams are the design's.
+var DefaultParams = Params{MaxBody: 1 << 20, Wait: 30 * time.Second, MaxWait: 7 * 24 * time.Hour, Margin: 30 * time.Millisecond, MaxParts: 64, MaxOutput: 1 << 20}
+
+// Turn is the body of POST /v1/turns.
+type Turn struct {
+	Conversation string   `json:"conversation"`
+	Follows      string   `json:"follows"`
+	Model        string   `json:"model"`
+	Class        string   `json:"class"`
+	Words        string   `json:"words"`
+	Parts        []string `json:"parts"`
+	MaxOutput    int64    `json:"max_output"`
+}
+
+// Call is the body of POST /v1/calls/{route}.
+type Call struct {
+	Class string          `json:"class"`
+	Args  json.RawMessage `json:"args"`
+	Parts []string        `json:"parts"`
+}
+
+// Door makes jobs of requests.
+type Door struct {
+	P     Params
+	ID    string // of this node and start; job ids begin with it
+	Log   hclog.Logger
+	View  func() *realm.View
+	Ready func() error
+	Turn  job.Next
+	Call  job.Next
+	// Seen hears of every job answered, for records of the traffic.
+	Seen func(c *job.Ctx, a job.Answer, took time.Duration)
+
+	n      atomic.Uint64
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+// Routes puts the callers' interface on e.
+func (d *Door) Routes(e *echo.Echo) {
+	d.counts = map[string]int64{}
+	e.POST("/v1/turns", func(x echo.Context) error { return d.serve(x, "") })
+	e.POST("/v1/calls/:route", func(x echo.Context) error { return d.serve(x, x.Param("route")) })
+}
+
+// Counts is how many jobs ended with each code.
+func (d *Door) Counts() map[string]int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]int64{}
+	for k, v := range d.counts {
+		out[k] = v
+	}
+	return out
+}
+
+func (d *Door) serve(x echo.Context, route string) error {
+	at := time.Now()
+	c, err := d.job(x, at, route)
+	var a job.Answer
+	switch {
+	case err != nil:
+		a.Err = err
+	case c.Left() <= 0:
+		a = job.Bad(code.CutoffPassed, "no time is left")
+	case c.Conv != "":
+		a = d.Turn(c)
+	default:
+		a = d.Call(c)
+	}
+	n := code.Of(a.Err)
+	d.mu.Lock()
+	d.counts[n.Name()]++
+	d.mu.Unlock()
+	if c != nil && d.Seen != nil {
+		d.Seen(c, a, time.Since(at))
+	}
+	return d.answer(x, c, a)
+}
+
+// answer writes the one final answer.
+func (d *Door) answer(x echo.Context, c *job.Ctx, a job.Answer) error {
+	if a.Err == nil {
+		return x.JSONBlob(http.StatusOK, a.Body)
+	}
+	p := web.Of(a.Err)
+	if c != nil {
+		p.Job = c.ID
+	}
+	if code.Code(p.Code) == code.Unknown {
+		d.Log.Error("problem without a number", "err", a.Err)
+	}
+	status := code.Code(p.Code).Status()
+	if a.Wait > 0 {
+		// Callers read whole seconds and nothing finer: round up, so that
+		// nobody is back too soon.
+		x.Response().Header().Set("Retry-After", strconv.FormatInt(int64(math.Ceil(a.Wait.Seconds())), 10))
+		p.WaitMs = a.Wait.Milliseconds()
+		p.NotBefore = time.Now().Add(a.Wait).UTC().Format("2006-01-02T15:04:05.000Z")
+	}
+	return x.JSON(status, p)
+}
+
+// job checks a request and makes a job of it.
+func (d *Door) job(x echo.Context, at time.Time, route string) (*job.Ctx, error) {
+	if err := d.Ready(); err != nil {
+		return nil, err
+	}
+	q := x.Request()
+	v := d.View()
+	c := &job.Ctx{Context: q.Context(), ID: fmt.Sprintf("%s-%d", d.ID, d.n.Add(1)), Origin: q.RemoteAddr, View: v, Route: route, Log: d.Log}
+	if err := d.headers(q.Header, c, at); err != nil {
+		return nil, err
+	}
+	b, err := web.Body(x, d.P.MaxBody)
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(append([]byte(q.URL.Path+"\n"), b...))
+	c.Hash = hex.EncodeToString(sum[:16])
+	if route == "" {
+		err = d.turn(c, b)
+	} else {
+		err = d.call(c, b)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return c, d.class(c)
+}
+
+func (d *Door) headers(h http.Header, c *job.Ctx, at time.Time) error {
+	c.Program = h.Get(HProgram)
+	if c.Program == "" {
+		return code.New(code.NoHeader, "%s is missing", HProgram)
+	}
+	for _, part := range strings.SplitN(c.Program, "/", 2) {
+		if !spec.Name(part) {
+			return code.New(code.BadHeader, "%s: %q is not a name, nor a class and a name", HProgram, c.Program)
+		}
+	}
+	if h.Get(HLeft) == "" {
+		return code.New(code.NoHeader, "%s is missing", HLeft)
+	}
+	left, err := d.seconds(h, HLeft)
+	if err != nil {
+		return err
+	}
+	wait := d.P.Wait
+	if h.Get(HWait) != "" {
+		if wait, err = d.seconds(h, HWait); err != nil {
+			return err
+		}
+	}
+	c.Cutoff = at.Add(min(left, wait) - d.P.Margin)
+	if c.Key = h.Get(HKey); c.Key == "" {
+		// An empty key is no key, and must not be taken for 'may be repeated'.
+		if _, ok := h[HKey]; ok {
+			return code.New(code.BadHeader, "%s is empty", HKey)
+		}
+		return nil
+	}
+	if len(c.Key) > 128 || strings.ContainsFunc(c.Key, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return code.New(code.BadHeader, "%s: want up to 128 visible characters", HKey)
+	}
+	return nil
+}
+
+func (d *Door) seconds(h http.Header, name string) (time.Duration, error) {
+	f, err := strconv.ParseFloat(h.Get(name), 64)
+	if err != nil || math.IsNaN(f) {
+		return 0, code.New(code.BadTime, "%s: %q is not a number of seconds", name, h.Get(name))
+	}
+	if f < 0 || f > d.P.MaxWait.Seconds() {
+		return 0, code.New(code.BadTime, "%s: %v is not within 0 and %v", name, f, d.P.MaxWait.Seconds())
+	}
+	return time.Duration(f * float64(time.Second)), nil
+}
+
+func parse(b []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		if strings.Contains(err.Error(), "unknown field") {
+			return code.New(code.UnknownField, "%w", err)
+		}
+		return code.New(code.BadJSON, "%w", err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return code.New(code.BadJSON, "something follows the body")
+	}
+	return nil
+}
+
+func (d *Door) turn(c *job.Ctx, b []byte) error {
+	var t Turn
+	if err := parse(b, &t); err != nil {
+		return err
+	}
+	if !spec.Name(t.Conversation) {
+		return code.New(code.BadField, "conversation: %q is not a name", t.Conversation)
+	}
+	if t.Words == "" {
+		return code.New(code.BadField, "words: missing")
+	}
+	if t.MaxOutput < 1 || t.MaxOutput > d.P.MaxOutput {
+		return code.New(code.BadField, "max_output: %d is not within 1 and %d", t.MaxOutput, d.P.MaxOutput)
+	}
+	if len(t.Follows) > 128 {
+		return code.New(code.BadField, "follows: not a turn")
+	}
+	c.Conv, c.Follows, c.Words, c.Most, c.Class = t.Conversation, t.Follows, t.Words, t.MaxOutput, t.Class
+	c.Route = t.Model
+	for _, r := range c.View.Spec.Routes {
+		if r.Model && (t.Model == "" || t.Model == r.Name) {
+			c.Route = r.Name
+			return d.parts(c, t.Parts)
+		}
+	}
+	return code.New(code.NoRoute, "model: %q is not a model route", t.Model)
+}
+
+func (d *Door) call(c *job.Ctx, b []byte) error {
+	var t Call
+	if err := parse(b, &t); err != nil {
+		return err
+	}
+	c.Words, c.Class = string(t.Args), t.Class
+	for _, r := range c.View.Spec.Routes {
+		if !r.Model && r.Name == c.Route {
+			return d.parts(c, t.Parts)
+		}
+	}
+	return code.New(code.NoRoute, "%q is not a tool's route", c.Route)
+}
+
+func (d *Door) parts(c *job.Ctx, parts []string) error {
+	if len(parts) > d.P.MaxParts {
+		return code.New(code.BadField, "parts: %d, limit %d", len(parts), d.P.MaxParts)
+	}
+	for i, p := range parts {
+		if !spec.Name(p) {
+			return code.New(code.BadField, "parts[%d]: %q is not a name", i, p)
+		}
+	}
+	c.Parts = parts
+	return nil
+}
+
+// class finds the job's place in the order; a class not named goes last.
+func (d *Door) class(c *job.Ctx) error {
+	cs := c.View.Spec.Classes
+	if c.Class == "" {
+		c.Rank = len(cs)
+		return nil
+	}
+	for i, k := range cs {
+		if k.Name == c.Class {
+			c.Rank, c.Urgent = i, k.Urgent
+			return nil
+		}
+	}
+	return code.New(code.BadField, "class: %q is not one of the classes", c.Class)
+}
--- /dev/null
+++ b/pass/edge/edge.go
@@ -0,0 +1,207 @@
+// Package edge is the data plane's edge role: it joins the parts of a job's
+// way, in one fixed order, and runs their duties.
+package edge
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"damsontiller/coord/duty"
+	"damsontiller/coord/node"
+	"damsontiller/coord/tier"
+	"damsontiller/pass/backlog"
+	"damsontiller/pass/call"
+	"damsontiller/pass/claim"
+	"damsontiller/pass/conv"
+	"damsontiller/pass/cool"
+	"damsontiller/pass/door"
+	"damsontiller/pass/elect"
+	"damsontiller/pass/herd"
+	"damsontiller/pass/job"
+	"damsontiller/pass/names"
+	"damsontiller/pass/purse"
+	"damsontiller/pass/slots"
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// Params are the edge's settings.
+type Params struct {
+	Door    door.Params
+	Cool    cool.Params
+	Herd    herd.Params
+	Backlog backlog.Params
+	Ask     time.Duration // between two requests for slots
+	Write   time.Duration // cutoff of one write to the tier
+	Late    time.Duration // for writing down what is known past a cutoff
+}
+
+// DefaultParams are the design's.
+var DefaultParams = Params{Door: door.DefaultParams, Cool: cool.DefaultParams, Herd: herd.DefaultParams, Backlog: backlog.DefaultParams,
+	Ask: 250 * time.Millisecond, Write: time.Second, Late: 2 * time.Second}
+
+// Edge is one edge process.
+type Edge struct {
+	*node.Node
+	p     Params
+	Door  *door.Door
+	Desk  *cool.Desk
+	dir   *elect.Dir
+	box   *slots.Box
+	back  *backlog.Backlog
+	fence *duty.Fence
+	duty  *duty.Duty
+	kick  loop.Kick
+	bg    job.Bg
+	ready atomic.Bool
+	stops atomic.Bool
+}
+
+// New makes an edge. ctx carries what goes on behind an answer.
+func New(ctx context.Context, p Params, np node.Params) *Edge {
+	e := &Edge{Node: node.New(np), p: p, fence: &duty.Fence{}, kick: loop.NewKick(), bg: job.NewBg(ctx)}
+	t := &tier.Tier{Peer: e.Peer, Realm: e.Realm, Prop: e.Prop}
+	runners := &names.Table{}
+	e.box = slots.New(runners)
+	e.Desk = cool.New(p.Cool, e.Node, t)
+	e.dir = elect.New(e.Node, runners, e.box, e.Desk)
+	e.back = backlog.New(p.Backlog, e.dir, e.box)
+	h := herd.New(p.Herd, e.Node)
+	e.duty = &duty.Duty{Name: "deal", Peer: e.Peer, Realm: e.Realm, Lic: e.Lic, Prop: e.Prop, Fence: e.fence, Work: h.Work, Silence: time.Second}
+	caller := &call.Caller{Desk: e.Desk, Dir: e.dir, MayServe: e.Lic.MayServe, Leaves: e.leaves, Web: call.NewWeb(), Avoid: 2 * time.Second}
+
+	// The way of a job, in the one place where it is fixed. What stands
+	// further out is written down first and settled last.
+	rest := []job.Policy{
+		cool.Door{D: e.Desk, Keys: e.dir.Keys},
+		call.Again{Room: p.Cool.Room},
+		e.back,
+		call.Cool{Desk: e.Desk},
+	}
+	keyed := claim.Policy{T: t, Write: p.Write, Late: p.Late, Bg: e.bg}
+	turns := append([]job.Policy{keyed, conv.Policy{T: t, Late: p.Late, Bg: e.bg}, purse.Policy{T: t, Write: p.Write, Bg: e.bg}}, rest...)
+	calls := append([]job.Policy{keyed}, rest...)
+	e.Door = &door.Door{P: p.Door, ID: np.Self.Id + "-" + strconv.FormatUint(e.Peer.Self.Inc, 36), Log: e.Log.Named("door"), View: e.Realm.Now, Ready: e.mayTake,
+		Turn: job.Chain(caller.Do, turns...), Call: job.Chain(caller.Do, calls...)}
+	return e
+}
+
+// mayTake tells whether the door is open.
+func (e *Edge) mayTake() error {
+	switch {
+	case !e.ready.Load():
+		return code.New(code.NotReady, "this node is not a member yet")
+	case e.stops.Load():
+		return code.New(code.Stopping, "this node stops, ask another")
+	case !e.Lic.MayServe():
+		return code.New(code.HoldPassed, "cut off from the core for longer than the hold")
+	}
+	return nil
+}
+
+// Routes puts the callers' interface on x.
+func (e *Edge) Routes(x *echo.Echo) {
+	e.Door.Routes(x)
+	x.GET("/v1/status", func(c echo.Context) error { return c.JSON(http.StatusOK, e.status()) })
+}
+
+// Status is what an edge says of itself.
+type Status struct {
+	ID       string           `json:"id"`
+	Ready    bool             `json:"ready"`
+	Spec     uint64           `json:"spec"`
+	Waiting  int              `json:"waiting"`
+	Epoch    uint64           `json:"deal_epoch"`
+	Counts   map[string]int64 `json:"counts"`
+	Rounds   uint64           `json:"register_rounds"`
+	Sent     uint64           `json:"messages_sent"`
+	Installs uint64           `json:"cooldowns_installed"`
+	Slots    map[string]int   `json:"slots"`
+}
+
+func (e *Edge) status() Status {
+	s := Status{ID: e.Peer.Self.Id, Ready: e.mayTake() == nil, Spec: e.Realm.Now().Ver, Waiting: e.back.Len(), Epoch: e.fence.Top(),
+		Counts: e.Door.Counts(), Rounds: e.Prop.Rounds.Load(), Sent: e.Peer.Sent(), Installs: e.Desk.Count(), Slots: map[string]int{}}
+	for _, h := range e.box.Held() {
+		s.Slots[h.Runner] = int(h.Plain + h.Urgent)
+	}
+	return s
+}
+
+// Start listens, joins, and opens the door. ctx ends the duties; jobs under
+// way are given their time by the HTTP server.
+func (e *Edge) Start(ctx context.Context) error {
+	if err := e.Peer.Serve(ctx); err != nil {
+		return err
+	}
+	if err := e.Find(ctx); err != nil {
+		return err
+	}
+	if err := e.Join(ctx); err != nil {
+		return err
+	}
+	e.Run(ctx)
+	e.Go(ctx, e.back.Run)
+	e.Go(ctx, e.Desk.Run)
+	e.Go(ctx, e.duty.Run)
+	e.Go(ctx, func(ctx context.Context) { loop.Every(ctx, e.p.Ask, e.kick, e.ask) })
+	e.ready.Store(true)
+	return nil
+}
+
+// Stop closes the door and answers what waits; what runs is left to end.
+func (e *Edge) Stop() {
+	e.stops.Store(true)
+	e.back.Stop()
+}
+
+// Settle waits for what goes on behind the answers, up to d.
+func (e *Edge) Settle(d time.Duration) {
+	done := make(chan struct{})
+	go func() { defer close(done); e.bg.WG.Wait() }()
+	select {
+	case <-done:
+	case <-time.After(d):
+		e.Log.Warn("stopped with writes unfinished")
+	}
+}
+
+// ask fetches slots from whoever deals.
+func (e *Edge) ask(ctx context.Context) {
+	for _, m := range duty.Order(e.Realm.Now(), e.Lic.Members()) {
+		asked := time.Now()
+		r, err := e.Peer.CallFor(ctx, e.p.Herd.Term/4, m.Addr, &wire.Req{Op: &wire.Req_Deal{Deal: &wire.Deal{
+			Epoch: e.fence.Top(), Held: e.box.Held(), Waiting: int32(e.back.Len())}}})
+		if err != nil {
+			// Not the dealer, or not there: the next in order may be.
+			continue
+		}
+		a := r.GetDeal()
+		if err := e.fence.Pass(a.Epoch); err != nil {
+			e.Log.Warn("dealer refused", "id", m.Id, "err", err)
+			continue
+		}
+		e.box.Deal(asked, time.Duration(a.TermMs)*time.Millisecond, a.Slots)
+		e.back.Poke()
+		return
+	}
+}
+
+// leaves tells the dealer; it looks for itself at once.
+func (e *Edge) leaves(runner, why string) {
+	e.Log.Info("runner seems to leave", "runner", runner, "why", why)
+	go func() {
+		for _, m := range duty.Order(e.Realm.Now(), e.Lic.Members()) {
+			if _, err := e.Peer.CallFor(context.Background(), 500*time.Millisecond, m.Addr, &wire.Req{Op: &wire.Req_Tell{Tell: &wire.Tell{Runner: runner, Why: why}}}); err == nil {
+				e.kick.Poke()
+				return
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/pass/elect/elect.go
@@ -0,0 +1,191 @@
+// Package elect keeps what this node knows of the runners and elects one for a
+// job: one that holds its prefix, is little busy, and is near.
+package elect
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"damsontiller/coord/node"
+	"damsontiller/pass/cool"
+	"damsontiller/pass/herd"
+	"damsontiller/pass/job"
+	"damsontiller/pass/names"
+	"damsontiller/pass/report"
+	"damsontiller/pass/slots"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+)
+
+// entry is one runner.
+type entry struct {
+	spec.Runner
+	route    int
+	on       bool // in the spec, or in the platform's list
+	leaving  bool
+	avoid    time.Time
+	prefixes map[string]bool
+	cool     string
+}
+
+// Dir is the directory of runners, by index.
+type Dir struct {
+	n       *node.Node
+	Runners *names.Table
+	Routes  *names.Table
+	box     *slots.Box
+	desk    *cool.Desk
+
+	mu   sync.Mutex
+	ver  uint64
+	all  []*entry
+	told map[string]herd.State
+}
+
+// New makes the directory and listens for news of runners.
+func New(n *node.Node, runners *names.Table, box *slots.Box, desk *cool.Desk) *Dir {
+	d := &Dir{n: n, Runners: runners, Routes: &names.Table{}, box: box, desk: desk, told: map[string]herd.State{}}
+	n.Board.On("runner", d.hear)
+	return d
+}
+
+func (d *Dir) hear(i *wire.Item) error {
+	var s herd.State
+	if err := json.Unmarshal(i.Body, &s); err != nil {
+		return code.New(code.Garbled, "runner %s: %w", i.Key, err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.told[s.Name] = s
+	d.ver = 0 // lay out anew
+	return nil
+}
+
+// lay brings the entries in line with the spec in force and the news.
+func (d *Dir) lay() {
+	v := d.n.Realm.Now()
+	if d.ver == v.Ver {
+		return
+	}
+	d.ver = v.Ver
+	for _, e := range d.all {
+		e.on = false
+	}
+	put := func(r spec.Runner) *entry {
+		ix := d.Runners.Ix(r.Name)
+		for len(d.all) <= ix {
+			d.all = append(d.all, &entry{prefixes: map[string]bool{}})
+		}
+		e := d.all[ix]
+		e.Runner, e.route, e.on, e.cool = r, d.Routes.Ix(r.Route), true, cool.Key(&v.Spec, r)
+		return e
+	}
+	for _, s := range d.told {
+		if s.State == report.Gone {
+			// Whoever comes up under that name holds no prefix yet.
+			s.Prefixes = nil
+		}
+		e := put(s.Runner)
+		e.leaving = s.State != report.Ready
+		e.prefixes = map[string]bool{}
+		for _, p := range s.Prefixes {
+			e.prefixes[p] = true
+		}
+	}
+	for _, r := range v.Spec.Runners {
+		put(r)
+	}
+}
+
+// Avoid keeps a runner from being elected for a while: this node has seen that
+// it leaves or is gone, and the dealer has not yet said so.
+func (d *Dir) Avoid(ix int, t time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.all[ix].avoid = time.Now().Add(t)
+}
+
+// Holds notes the prefixes that a runner says it holds.
+func (d *Dir) Holds(ix int, prefixes []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// The list is the whole of what it holds now; what it let go is let go.
+	held := make(map[string]bool, len(prefixes))
+	for _, p := range prefixes {
+		held[p] = true
+	}
+	d.all[ix].prefixes = held
+}
+
+// Keys lists the cooldown keys of the runners that could serve the job.
+func (d *Dir) Keys(c *job.Ctx) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lay()
+	var out []string
+	route := d.Routes.Ix(c.Route)
+	for _, e := range d.all {
+		if e.on && e.route == route && !e.leaving {
+			out = append(out, e.cool)
+		}
+	}
+	return out
+}
+
+// Elect finds a runner with a free slot and takes the slot. Without one it
+// tells the least cooldown, where that is what stands in the way.
+func (d *Dir) Elect(c *job.Ctx) (r job.Runner, k slots.Kind, ok bool, least time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lay()
+	now := time.Now()
+	v := d.n.Realm.Now()
+	route := d.Routes.Ix(c.Route)
+	best, top := -1, 0.0
+	least = -1
+	for ix, e := range d.all {
+		if !e.on || e.route != route || e.leaving || now.Before(e.avoid) || v.Spec.Empty(e.Zone) {
+			continue
+		}
+		w := d.desk.Seen(e.cool)
+		if least < 0 || w < least {
+			least = w
+		}
+		if w > 0 {
+			continue
+		}
+		free, used := d.box.Free(ix, c.Urgent)
+		if free == 0 {
+			continue
+		}
+		if s := d.score(e, c, free, used); best < 0 || s > top {
+			best, top = ix, s
+		}
+	}
+	if best >= 0 {
+		if k, ok = d.box.Take(best, c.Urgent); ok {
+			e := d.all[best]
+			return job.Runner{Ix: best, Name: e.Name, Addr: e.Addr, Cool: e.cool}, k, true, 0
+		}
+	}
+	return job.Runner{}, 0, false, max(least, 0)
+}
+
+// score: a held prefix saves the whole prefill and counts most; then room;
+// then the zone.
+func (d *Dir) score(e *entry, c *job.Ctx, free, used int) float64 {
+	s := float64(free) / float64(free+used)
+	for i := len(c.Parts); i > 0; i-- {
+		if e.prefixes[strings.Join(c.Parts[:i], "+")] {
+			s += 2 * float64(i) / float64(len(c.Parts))
+			break
+		}
+	}
+	if e.Zone == d.n.Peer.Self.Zone {
+		s += 0.25
+	}
+	return s
+}
--- /dev/null
+++ b/pass/herd/herd.go
@@ -0,0 +1,487 @@
+// Package herd is the dealing duty: it reads the runners' reports and the
+// platform's list, tells the tree who comes and goes, and deals each runner's
+// bearable busyness to the edge nodes as slots with a term.
+//
+// The sum of what all edges hold never exceeds what a runner can bear:
+//   - an edge counts its term from before it asked, the dealer from after it
+//     answered, so a share ends at the edge first;
+//   - a share is lowered here only once the edge says it is;
+//   - a new dealer hands out no more than the edges it has heard of held,
+//     until every edge that could still hold shares has been heard or is gone;
+//   - a dealer that has not renewed its licence of late raises nothing.
+package herd
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"reflect"
+	"sort"
+	"sync"
+	"time"
+
+	"damsontiller/coord/duty"
+	"damsontiller/coord/node"
+	"damsontiller/pass/report"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// Params are the dealer's times.
+type Params struct {
+	Poll  time.Duration // between reports
+	Term  time.Duration // of dealt slots
+	Warm  time.Duration // between two doublings of a fresh runner's share
+	Fresh int           // slots a fresh runner starts with
+	// Known: a runner up this long that bears well is not fresh to a new dealer.
+	Known time.Duration
+}
+
+// DefaultParams are the design's.
+var DefaultParams = Params{Poll: 300 * time.Millisecond, Term: 2 * time.Second, Warm: time.Second, Fresh: 2, Known: 20 * time.Second}
+
+// State is what the tree hears of a runner.
+type State struct {
+	spec.Runner
+	State    string   `json:"state"`
+	Bears    int      `json:"bears"`
+	Busy     int      `json:"busy"`
+	Prefixes []string `json:"prefixes,omitempty"`
+}
+
+type runner struct {
+	State
+	cap     int // what may be dealt now
+	warmAt  time.Time
+	refused int64
+	misses  int
+	known   bool
+	// base bounds the sum dealt until every edge has been heard: what those
+	// heard held when first heard.
+	base int
+	// ghost is work seen at the opening that no edge accounted for.
+	ghost int
+}
+
+// share is what an edge may hold of a runner.
+type share struct{ plain, urgent, busy int }
+
+// edge is one start of an edge node; past is set once another start of the
+// same node has been heard.
+type edge struct {
+	id      string
+	waiting int
+	busy    int
+	at      time.Time
+	past    bool
+	held    map[string]share
+}
+
+// over tells whether the edge's term has ended.
+func (e *edge) over(now time.Time, term time.Duration) bool { return e.past || now.Sub(e.at) >= term }
+
+// Herd is one tenure of the duty.
+type Herd struct {
+	p     Params
+	n     *node.Node
+	epoch uint64
+	web   *http.Client
+	kick  loop.Kick
+
+	mu     sync.Mutex
+	seq    uint64
+	open   bool // every edge has been heard or is gone
+	all    map[string]*runner
+	edges  map[uint64]*edge // by incarnation
+	opened time.Time
+	listed []report.Listed
+}
+
+// Duty answers Deal and Tell calls for whichever tenure runs here.
+type Duty struct {
+	p   Params
+	n   *node.Node
+	mu  sync.Mutex
+	cur *Herd
+}
+
+// New makes the duty's local end.
+func New(p Params, n *node.Node) *Duty {
+	d := &Duty{p: p, n: n}
+	n.Peer.On(&wire.Req_Deal{}, d.deal)
+	n.Peer.On(&wire.Req_Tell{}, d.tell)
+	return d
+}
+
+func (d *Duty) now() (*Herd, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cur == nil {
+		return nil, code.New(code.NotHolder, "%s does not deal", d.n.Peer.Self.Id)
+	}
+	return d.cur, nil
+}
+
+func (d *Duty) set(h *Herd) {
+	d.mu.Lock()
+	d.cur = h
+	d.mu.Unlock()
+}
+
+// Work is one tenure.
+func (d *Duty) Work(ctx context.Context, epoch uint64) {
+	h := &Herd{p: d.p, n: d.n, epoch: epoch, kick: loop.NewKick(), all: map[string]*runner{}, edges: map[uint64]*edge{},
+		web: &http.Client{Timeout: d.p.Poll}}
+	defer h.web.CloseIdleConnections()
+	h.poll(ctx)
+	d.set(h)
+	defer d.set(nil)
+	loop.Every(ctx, d.p.Poll, h.kick, h.poll)
+}
+
+func (d *Duty) deal(_ context.Context, q *wire.Req) (*wire.Resp, error) {
+	h, err := d.now()
+	if err != nil {
+		return nil, err
+	}
+	if q.GetDeal().GetEpoch() > h.epoch {
+		// The asker has dealt with a later holder: this tenure is over.
+		d.set(nil)
+		return nil, code.New(code.OldEpoch, "epoch %d is over", h.epoch)
+	}
+	// A dealer may be replaced as soon as its licence runs out, or when one
+	// before it in the order comes back, which it hears at its next renewal. It
+	// stops raising well before the shares of edges that left it run out here.
+	a := h.Ask(q.Id, q.Inc, q.GetDeal(), d.n.Lic.Since() < d.p.Term*3/4)
+	return &wire.Resp{Op: &wire.Resp_Deal{Deal: a}}, nil
+}
+
+func (d *Duty) tell(_ context.Context, q *wire.Req) (*wire.Resp, error) {
+	h, err := d.now()
+	if err != nil {
+		return nil, err
+	}
+	// Whoever tells may be wrong about the cause; the report decides, at once.
+	h.kick.Poke()
+	return nil, nil
+}
+
+// poll asks every runner and the platform once.
+func (h *Herd) poll(ctx context.Context) {
+	v := h.n.Realm.Now()
+	want := map[string]spec.Runner{}
+	for _, r := range h.list(ctx, v.Spec.Platform) {
+		want[r.Name] = spec.Runner{Name: r.Name, Addr: r.Addr, Zone: r.Zone, Route: r.Route}
+	}
+	// Where both name a runner, the operators' word counts.
+	for _, r := range v.Spec.Runners {
+		want[r.Name] = r
+	}
+	type seen struct {
+		r    spec.Runner
+		rep  *report.Report
+		gone bool
+	}
+	ch := make(chan seen, len(want))
+	for _, r := range want {
+		go func() {
+			rep, gone := h.ask(ctx, r)
+			ch <- seen{r, rep, gone}
+		}()
+	}
+	var items []*wire.Item
+	now := time.Now()
+	for range want {
+		s := <-ch
+		if i := h.note(now, s.r, s.rep, s.gone); i != nil {
+			items = append(items, i)
+		}
+	}
+	h.mu.Lock()
+	for name := range h.all {
+		if _, ok := want[name]; !ok {
+			h.all[name].cap = 0
+			h.all[name].State.State = report.Gone
+		}
+	}
+	h.mu.Unlock()
+	h.heard(ctx)
+	if len(items) > 0 && ctx.Err() == nil {
+		// The tree may be slow; the next poll must not be.
+		go h.n.Board.Publish(ctx, items...)
+	}
+}
+
+func (h *Herd) list(ctx context.Context, addr string) []report.Listed {
+	if addr == "" {
+		return nil
+	}
+	var l report.Platform
+	if err := h.get(ctx, "http://"+addr+"/v1/runners", &l); err != nil {
+		h.n.Log.Debug("platform list not read", "err", err)
+		// The list lags anyway; the last one read stays good.
+		return h.listed
+	}
+	h.listed = l.Runners[:0:0]
+	for _, r := range l.Runners {
+		if spec.Name(r.Name) && spec.Addr(r.Addr) == nil {
+			h.listed = append(h.listed, r)
+		}
+	}
+	return h.listed
+}
+
+func (h *Herd) get(ctx context.Context, url string, into any) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	r, err := h.web.Do(q)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return code.New(code.RunnerProblem, "status %d", r.StatusCode)
+	}
+	return json.NewDecoder(http.MaxBytesReader(nil, r.Body, 1<<20)).Decode(into)
+}
+
+func (h *Herd) ask(ctx context.Context, r spec.Runner) (rep *report.Report, gone bool) {
+	rep = &report.Report{}
+	if err := h.get(ctx, "http://"+r.Addr+"/v1/report", rep); err != nil {
+		return nil, Refused(err)
+	}
+	if rep.Name != r.Name {
+		h.n.Log.Warn("another runner answers", "want", r.Name, "got", rep.Name)
+		return nil, false
+	}
+	return rep, false
+}
+
+// note takes one report; it gives news where the state has changed.
+func (h *Herd) note(now time.Time, r spec.Runner, rep *report.Report, gone bool) *wire.Item {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	o := h.all[r.Name]
+	if o == nil {
+		o = &runner{}
+		h.all[r.Name] = o
+	}
+	was := o.State
+	o.Runner = r
+	if rep == nil {
+		// One lost report is no leave; a refused port is.
+		if o.misses++; gone || o.misses >= 3 {
+			o.State.State, o.cap, o.known = report.Gone, 0, false
+		}
+	} else {
+		o.misses = 0
+		o.State.State, o.Bears, o.Busy, o.Prefixes = rep.State, max(rep.Bears, 0), rep.Busy, rep.Prefixes
+		h.warm(now, o, rep)
+	}
+	if reflect.DeepEqual(quietly(was), quietly(o.State)) {
+		return nil
+	}
+	h.seq++
+	b, err := json.Marshal(o.State)
+	if err != nil {
+		return nil
+	}
+	return &wire.Item{Topic: "runner", Key: r.Name, Epoch: h.epoch, Seq: h.seq, Body: b}
+}
+
+// quietly leaves out what changes all the time.
+func quietly(s State) State {
+	s.Busy = 0
+	return s
+}
+
+// warm sets what may be dealt: a fresh runner starts with few and doubles
+// while its own reports show no refusals.
+func (h *Herd) warm(now time.Time, o *runner, rep *report.Report) {
+	switch {
+	case rep.State != report.Ready:
+		o.cap, o.known = 0, false
+		return
+	case !o.known:
+		o.known, o.refused, o.warmAt = true, rep.Refused, now
+		o.cap = h.p.Fresh
+		if time.Duration(rep.UpMs)*time.Millisecond >= h.p.Known {
+			o.cap = rep.Bears
+		}
+	case rep.Refused > o.refused:
+		// It refused: stay, and look again after a while.
+		o.refused, o.warmAt = rep.Refused, now
+	case now.Sub(o.warmAt) >= h.p.Warm:
+		o.cap, o.warmAt = o.cap*2, now
+	}
+	o.cap = min(o.cap, o.Bears)
+}
+
+// heard opens the dealing once no edge is left that could hold shares unknown
+// to this tenure.
+func (h *Herd) heard(ctx context.Context) {
+	h.mu.Lock()
+	open := h.open
+	h.mu.Unlock()
+	if open {
+		return
+	}
+	hold := h.n.P.Lic.Hold.Milliseconds()
+	for _, m := range h.n.Lic.Members() {
+		if m.Role != "edge" || m.SilentMs > hold {
+			continue
+		}
+		h.mu.Lock()
+		_, ok := h.edges[m.Inc]
+		h.mu.Unlock()
+		if !ok && !duty.Gone(ctx, h.n.Peer, m.Addr) {
+			return
+		}
+	}
+	h.mu.Lock()
+	h.open, h.opened = true, time.Now()
+	for _, o := range h.all {
+		for _, e := range h.edges {
+			o.ghost -= e.held[o.Name].busy
+		}
+		o.ghost = max(o.ghost+o.Busy, 0)
+	}
+	h.mu.Unlock()
+	h.n.Log.Info("dealing is open", "epoch", h.epoch)
+}
+
+// Ask answers one edge. raise is whether this dealer's licence is valid.
+func (h *Herd) Ask(id string, inc uint64, q *wire.Deal, raise bool) *wire.DealAck {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	e := h.edges[inc]
+	if e == nil {
+		// A new start holds nothing; what the former one left running is
+		// still counted.
+		for _, o := range h.edges {
+			o.past = o.past || o.id == id
+		}
+		e = &edge{id: id}
+		h.edges[inc] = e
+		for _, s := range q.Held {
+			if o := h.all[s.Runner]; o != nil {
+				o.base += int(s.Plain + s.Urgent)
+			}
+		}
+	}
+	e.at, e.waiting, e.busy, e.held = now, int(q.Waiting), 0, map[string]share{}
+	for _, s := range q.Held {
+		e.held[s.Runner] = share{int(s.Plain), int(s.Urgent), int(s.Busy)}
+		e.busy += int(s.Busy)
+	}
+	out := &wire.DealAck{Epoch: h.epoch, TermMs: h.p.Term.Milliseconds()}
+	for name, o := range h.all {
+		cur, want := e.held[name], h.target(o, inc)
+		room := 0
+		if raise {
+			room = max(h.room(o, now), 0)
+		}
+		urgent := min(want.urgent, cur.urgent+room)
+		room -= max(urgent-cur.urgent, 0)
+		plain := min(want.plain, cur.plain+room)
+		// Until the edge says that it holds less, it may hold the more.
+		e.held[name] = share{max(plain, cur.plain), max(urgent, cur.urgent), cur.busy}
+		if plain+urgent > 0 {
+			out.Slots = append(out.Slots, &wire.Slot{Runner: name, Plain: int32(plain), Urgent: int32(urgent)})
+		}
+	}
+	return out
+}
+
+// room is how many more slots of a runner may be dealt: what it can bear, less
+// what the edges hold, less work left behind by edges that are gone.
+func (h *Herd) room(o *runner, now time.Time) int {
+	total := o.cap
+	if !h.open {
+		total = min(total, o.base)
+	}
+	for _, e := range h.edges {
+		s := e.held[o.Name]
+		switch {
+		case !e.over(now, h.p.Term):
+			total -= s.plain + s.urgent
+		case now.Sub(e.at) < h.n.P.Lic.Hold:
+			// What was in use at last word may still run, as far as the
+			// runner says that it runs anything.
+			total -= min(s.busy, o.Busy)
+		}
+	}
+	if now.Sub(h.opened) < h.n.P.Lic.Hold {
+		total -= min(o.ghost, o.Busy)
+	}
+	return total
+}
+
+// target is the share of a runner that an edge should have: everyone alike,
+// and more to those with more to do.
+func (h *Herd) target(o *runner, inc uint64) share {
+	v := h.n.Realm.Now()
+	if o.cap <= 0 || v.Spec.Empty(o.Zone) {
+		return share{}
+	}
+	reserve := 0
+	for _, c := range v.Spec.Classes {
+		reserve = max(reserve, c.Reserve)
+	}
+	urgent := o.cap * reserve / 100
+	return share{plain: h.cut(o, inc, o.cap-urgent, 0), urgent: h.cut(o, inc, urgent, 1)}
+}
+
+// cut gives one edge its part of n by largest remainder over the weights.
+func (h *Herd) cut(o *runner, inc uint64, n, turn int) int {
+	type part struct {
+		inc  uint64
+		id   string
+		w    int
+		rest int
+	}
+	var ps []part
+	sum := 0
+	now := time.Now()
+	for i, e := range h.edges {
+		if e.over(now, h.p.Term) {
+			continue
+		}
+		w := 4 + min(e.waiting+e.busy, 64)
+		ps = append(ps, part{inc: i, id: e.id, w: w})
+		sum += w
+	}
+	got, left := 0, n
+	for i := range ps {
+		whole := n * ps[i].w / sum
+		ps[i].rest = n * ps[i].w % sum
+		left -= whole
+		if ps[i].inc == inc {
+			got = whole
+		}
+	}
+	if len(ps) == 0 {
+		return 0
+	}
+	// The order among equals turns with the runner, so that the odd slots of
+	// several runners do not all fall to one edge.
+	sort.Slice(ps, func(i, j int) bool { return ps[i].id < ps[j].id })
+	off := turn
+	for _, c := range o.Name {
+		off += int(c)
+	}
+	off %= len(ps)
+	ps = append(ps[off:], ps[:off]...)
+	sort.SliceStable(ps, func(i, j int) bool { return ps[i].rest > ps[j].rest })
+	for i := 0; i < left; i++ {
+		if ps[i].inc == inc {
+			got++
+		}
+	}
+	return got
+}
--- /dev/null
+++ b/pass/job/job.go
@@ -0,0 +1,115 @@
+// Package job holds the project's one context type, which goes with a job all
+// the way, and the answer that comes back.
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"damsontiller/coord/realm"
+	"damsontiller/xport/code"
+)
+
+// Ctx is a job under way.
+type Ctx struct {
+	context.Context
+	ID      string
+	Origin  string // who asked: the remote address
+	Program string
+	Class   string
+	Urgent  bool
+	Rank    int // place of the class in the spec's order
+	Route   string
+	Key     string // Idempotency-Key; empty: the job may be repeated
+	Hash    string // of the body, to know a key used for another job
+	Parts   []string
+	Most    int64 // largest output asked for
+	Words   string
+	Follows string
+	Conv    string // conversation class
+	History []Line
+	// Cutoff is the earlier of the caller's wait and the program's end, on the
+	// local clock, counted from arrival.
+	Cutoff time.Time
+	View   *realm.View // the spec in force at the door
+	Log    hclog.Logger
+	// Runner is set once elected.
+	Runner Runner
+	// Spent is the output the runner reports.
+	Spent int64
+}
+
+// Line is one turn of a history.
+type Line struct {
+	Words  string `json:"words"`
+	Answer string `json:"answer"`
+}
+
+// Runner is an elected back end.
+type Runner struct {
+	Ix   int
+	Name string
+	Addr string
+	Cool string // its cooldown key
+}
+
+// Left is the time until the cutoff.
+func (c *Ctx) Left() time.Duration { return time.Until(c.Cutoff) }
+
+// Fits tells whether a wait leaves room for the call itself.
+func (c *Ctx) Fits(wait, room time.Duration) bool { return wait+room <= c.Left() }
+
+// Answer is what becomes of a job.
+type Answer struct {
+	Err  error
+	Body json.RawMessage
+	// Wait is how long the caller should stay away.
+	Wait time.Duration
+	// Again: nothing stands against passing the job once more.
+	Again bool
+}
+
+// Good is a whole answer.
+func Good(body json.RawMessage) Answer { return Answer{Body: body} }
+
+// Bad is a numbered problem.
+func Bad(c code.Code, format string, a ...any) Answer {
+	return Answer{Err: code.New(c, format, a...)}
+}
+
+// Ran is "no", "yes" or "unknown".
+func (a Answer) Ran() string { return code.Of(a.Err).Ran() }
+
+// Bg is what goes on behind an answer: writes that must still be tried.
+type Bg struct {
+	Ctx context.Context
+	WG  *sync.WaitGroup
+}
+
+// NewBg makes a Bg that ends with ctx.
+func NewBg(ctx context.Context) Bg { return Bg{ctx, &sync.WaitGroup{}} }
+
+// Go runs f behind the answer.
+func (b Bg) Go(f func()) { b.WG.Go(f) }
+
+// Next is the rest of the way.
+type Next func(*Ctx) Answer
+
+// Policy is one decision on a job's way: it may answer by itself, or call next
+// and do something before and after.
+type Policy interface {
+	Do(c *Ctx, next Next) Answer
+}
+
+// Chain joins policies in order before the last step.
+func Chain(last Next, ps ...Policy) Next {
+	for i := len(ps) - 1; i >= 0; i-- {
+		p, next := ps[i], last
+		last = func(c *Ctx) Answer { return p.Do(c, next) }
+	}
+	return last
+}
--- /dev/null
+++ b/pass/report/report.go
@@ -0,0 +1,65 @@
+// Package report is the runners' HTTP contract: what is sent to them and what
+// they say. docs/runners.md describes it for their authors.
+package report
+
+// Runner states.
+const (
+	Ready    = "ready"
+	Draining = "draining"
+	Gone     = "gone"
+)
+
+// Report is a runner's answer to GET /v1/report.
+type Report struct {
+	Name     string   `json:"name"`
+	State    string   `json:"state"`
+	Bears    int      `json:"bears"` // jobs at once, at present
+	Busy     int      `json:"busy"`
+	UpMs     int64    `json:"up_ms"`
+	Refused  int64    `json:"refused"` // jobs refused since it came up
+	Prefixes []string `json:"prefixes,omitempty"`
+}
+
+// Run is the body of POST /v1/run.
+type Run struct {
+	Job       string   `json:"job"`
+	Route     string   `json:"route"`
+	Program   string   `json:"program"`
+	Class     string   `json:"class"`
+	Parts     []string `json:"parts,omitempty"`
+	History   any      `json:"history,omitempty"`
+	Words     string   `json:"words"`
+	MaxOutput int64    `json:"max_output,omitempty"`
+	CutoffMs  int64    `json:"cutoff_ms"`
+}
+
+// Ran is a runner's whole answer to a job.
+type Ran struct {
+	Job      string   `json:"job"`
+	Text     string   `json:"text"`
+	Output   int64    `json:"output"`
+	Held     bool     `json:"held"` // the prefix was held, prefill was skipped
+	Prefixes []string `json:"prefixes,omitempty"`
+}
+
+// Problem is the body of a runner's refusal or failure.
+type Problem struct {
+	Error struct {
+		Type    string `json:"type"`
+		Message string `json:"message"`
+	} `json:"error"`
+	State string `json:"state,omitempty"`
+}
+
+// Listed is one entry of the platform's list, GET /v1/runners.
+type Listed struct {
+	Name  string `json:"name"`
+	Addr  string `json:"addr"`
+	Zone  string `json:"zone"`
+	Route string `json:"route"`
+}
+
+// Platform is the platform's list.
+type Platform struct {
+	Runners []Listed `json:"runners"`
+}
--- /dev/null
+++ b/pass/store/store.go
@@ -0,0 +1,89 @@
+// Package store is the data plane's store role: a voter of the registers whose
+// keys it holds, and a keeper of turns.
+package store
+
+import (
+	"context"
+	"time"
+
+	"damsontiller/coord/core"
+	"damsontiller/coord/node"
+	"damsontiller/proto/reg"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/state/vault"
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// Store is one store process.
+type Store struct {
+	*node.Node
+	v *vault.Vault
+}
+
+// New makes a store over its vault.
+func New(np node.Params, v *vault.Vault) (*Store, error) {
+	np.Keep = core.Keep(v.Note)
+	s := &Store{Node: node.New(np), v: v}
+	if err := core.Recall(v.Noted, s.Realm); err != nil {
+		return nil, err
+	}
+	core.Vote(s.Node, reg.NewAcceptor(v), func() []spec.Machine { return s.Realm.Now().Realm.Stores })
+	s.Peer.On(&wire.Req_Put{}, s.put)
+	s.Peer.On(&wire.Req_Get{}, s.get)
+	return s, nil
+}
+
+// MaxKey bounds a key; longer ones are refused before the disk sees them.
+const MaxKey = 512
+
+func (s *Store) put(_ context.Context, q *wire.Req) (*wire.Resp, error) {
+	p := q.GetPut()
+	if len(p.Key) == 0 || len(p.Key) > MaxKey || p.KeepMs <= 0 {
+		return nil, code.New(code.Garbled, "key of %d bytes, keep of %d ms", len(p.Key), p.KeepMs)
+	}
+	return nil, s.v.PutBlob(p.Key, p.Val, time.Duration(p.KeepMs)*time.Millisecond)
+}
+
+func (s *Store) get(_ context.Context, q *wire.Req) (*wire.Resp, error) {
+	g, err := s.v.GetBlob(q.GetGet().GetKey())
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Resp{Op: &wire.Resp_Got{Got: g}}, nil
+}
+
+// Start listens and joins. It returns once the store is a member.
+func (s *Store) Start(ctx context.Context) error {
+	if err := s.Peer.Serve(ctx); err != nil {
+		return err
+	}
+	if s.Realm.Now().Ver == 0 {
+		if err := s.Find(ctx); err != nil {
+			return err
+		}
+	}
+	if err := s.Join(ctx); err != nil {
+		return err
+	}
+	s.Run(ctx)
+	s.Go(ctx, func(ctx context.Context) {
+		loop.Every(ctx, 5*time.Second, nil, func(context.Context) {
+			if err := s.v.Tick(); err != nil {
+				s.Log.Error("lived time not kept", "err", err)
+			}
+		})
+	})
+	s.Go(ctx, func(ctx context.Context) { loop.Every(ctx, time.Minute, nil, s.sweep) })
+	return nil
+}
+
+func (s *Store) sweep(context.Context) {
+	e, f, err := s.v.Sweep()
+	if err != nil {
+		s.Log.Error("sweep failed", "err", err)
+	} else if e+f > 0 {
+		s.Log.Info("turns past their time", "emptied", e, "forgotten", f)
+	}
+}
--- /dev/null
+++ b/proto/reg/acceptor.go
@@ -0,0 +1,132 @@
+// Package reg is the one mechanism of agreement: a register changed in two
+// rounds at a majority, with the value its proposer expects. There is no log
+// and no leader; the same code serves the spec and every key at the stores.
+package reg
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+)
+
+// Disk keeps records; Save returns only once the record is synced.
+type Disk interface {
+	Load(key string) (*wire.Rec, error)
+	Save(key string, r *wire.Rec) error
+}
+
+// Acceptor votes on registers. It answers only after its disk is synced.
+type Acceptor struct {
+	disk  Disk
+	start time.Time
+	locks [64]sync.Mutex
+	mu    sync.Mutex
+	since map[string]mark
+}
+
+// mark remembers when this process first held a timed cell.
+type mark struct {
+	op uint64
+	at time.Time
+}
+
+// NewAcceptor makes an acceptor over d.
+func NewAcceptor(d Disk) *Acceptor {
+	return &Acceptor{disk: d, start: time.Now(), since: map[string]mark{}}
+}
+
+func (a *Acceptor) lock(key string) func() {
+	h := fnv.New32a()
+	h.Write([]byte(key))
+	m := &a.locks[h.Sum32()%uint32(len(a.locks))]
+	m.Lock()
+	return m.Unlock
+}
+
+// Prep promises to take nothing below the ballot.
+func (a *Acceptor) Prep(q *wire.Prep) (*wire.View, error) {
+	defer a.lock(q.Key)()
+	r, err := a.disk.Load(q.Key)
+	if err != nil {
+		return nil, err
+	}
+	if wire.Cmp(q.Ballot, r.Promised) <= 0 {
+		return a.view(q.Key, r), code.New(code.OldBallot, "promised %d", r.Promised.GetN())
+	}
+	r.Promised = q.Ballot
+	if err := a.disk.Save(q.Key, r); err != nil {
+		return nil, err
+	}
+	return a.view(q.Key, r), nil
+}
+
+// Acc takes the cell unless a higher ballot was promised.
+func (a *Acceptor) Acc(q *wire.Acc) (*wire.View, error) {
+	defer a.lock(q.Key)()
+	r, err := a.disk.Load(q.Key)
+	if err != nil {
+		return nil, err
+	}
+	if wire.Cmp(q.Ballot, r.Promised) < 0 {
+		return a.view(q.Key, r), code.New(code.OldBallot, "promised %d", r.Promised.GetN())
+	}
+	r.Promised, r.Accepted, r.Cell = q.Ballot, q.Ballot, q.Cell
+	if err := a.disk.Save(q.Key, r); err != nil {
+		return nil, err
+	}
+	if r.Cell.GetTimed() {
+		a.note(q.Key, lastOp(r.Cell))
+	}
+	return a.view(q.Key, r), nil
+}
+
+// Look reads without promising.
+func (a *Acceptor) Look(q *wire.Look) (*wire.View, error) {
+	defer a.lock(q.Key)()
+	r, err := a.disk.Load(q.Key)
+	if err != nil {
+		return nil, err
+	}
+	return a.view(q.Key, r), nil
+}
+
+func (a *Acceptor) view(key string, r *wire.Rec) *wire.View {
+	v := &wire.View{Promised: r.Promised, Accepted: r.Accepted, Cell: r.Cell}
+	if r.Cell.GetTimed() {
+		v.AgeMs = a.age(key, lastOp(r.Cell)).Milliseconds()
+	}
+	return v
+}
+
+// note starts the count of a cell taken just now; a cell that is only taken
+// again under a higher ballot keeps its count.
+func (a *Acceptor) note(key string, op uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if m, ok := a.since[key]; !ok || m.op != op {
+		a.since[key] = mark{op, time.Now()}
+	}
+}
+
+// age counts from when this process took the cell. One found on disk counts
+// from the start of the process: after a restart a wait is counted again in
+// whole rather than cut short.
+func (a *Acceptor) age(key string, op uint64) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at := a.start
+	if m, ok := a.since[key]; ok && m.op == op {
+		at = m.at
+	}
+	return time.Since(at)
+}
+
+func lastOp(c *wire.Cell) uint64 {
+	if n := len(c.GetOps()); n > 0 {
+		return c.Ops[n-1]
+	}
+	return 0
+}
--- /dev/null
+++ b/proto/reg/reg_test.go
@@ -0,0 +1,378 @@
+package reg_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"damsontiller/proto/reg"
+	"damsontiller/proto/wire"
+)
+
+// disk is a synced map; fail makes the next saves fail.
+type disk struct {
+	mu  sync.Mutex
+	all map[string][]byte
+}
+
+func (d *disk) Load(k string) (*wire.Rec, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := &wire.Rec{}
+	return r, proto.Unmarshal(d.all[k], r)
+}
+
+func (d *disk) Save(k string, r *wire.Rec) error {
+	b, err := proto.Marshal(r)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.all[k] = b
+	return err
+}
+
+// world is a few acceptors behind a network that loses calls and answers.
+type world struct {
+	mu   sync.Mutex
+	rnd  *rand.Rand
+	acc  map[string]*reg.Acceptor
+	dsk  map[string]*disk
+	lose int            // of 100 calls, and of 100 answers
+	down map[string]int // calls yet to be swallowed
+	lost int
+}
+
+func newWorld(seed uint64, n, lose int) (*world, reg.Set) {
+	w := &world{rnd: rand.New(rand.NewPCG(seed, 3)), acc: map[string]*reg.Acceptor{}, dsk: map[string]*disk{}, lose: lose, down: map[string]int{}}
+	var g []reg.Replica
+	for i := range n {
+		a := fmt.Sprintf("a%d", i)
+		w.dsk[a] = &disk{all: map[string][]byte{}}
+		w.acc[a] = reg.NewAcceptor(w.dsk[a])
+		g = append(g, reg.Replica{Addr: a, Ident: "id-" + a})
+	}
+	return w, reg.Set{g}
+}
+
+func (w *world) roll() (lost bool, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.rnd.IntN(100) < w.lose {
+		w.lost++
+		return true, 0
+	}
+	return false, time.Duration(w.rnd.IntN(20)) * time.Millisecond
+}
+
+func (w *world) call(ctx context.Context, addr string, q *wire.Req) (*wire.Resp, error) {
+	leg := func() error {
+		lost, d := w.roll()
+		if lost {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		select {
+		case <-time.After(d):
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if err := leg(); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	a := w.acc[addr]
+	w.mu.Unlock()
+	var v *wire.View
+	var err error
+	switch {
+	case q.GetPrep() != nil:
+		v, err = a.Prep(q.GetPrep())
+	case q.GetAcc() != nil:
+		v, err = a.Acc(q.GetAcc())
+	default:
+		v, err = a.Look(q.GetLook())
+	}
+	// What the acceptor keeps must not be shared with the caller.
+	r := proto.Clone(&wire.Resp{Op: &wire.Resp_View{View: v}}).(*wire.Resp)
+	if lerr := leg(); lerr != nil {
+		return nil, lerr
+	}
+	return r, err
+}
+
+// crash restarts an acceptor: memory gone, disk kept.
+func (w *world) crash(addr string) {
+	w.mu.Lock()
+	w.acc[addr] = reg.NewAcceptor(w.dsk[addr])
+	w.mu.Unlock()
+}
+
+type input struct {
+	read bool
+	add  string
+}
+
+// model: a register that words are appended to; an add is refused once the
+// value has eight words, so that refusals are checked as well.
+var model = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, in, out any) (bool, any) {
+		s, i, o := state.(string), in.(input), out.(string)
+		if i.read {
+			return o == s, s
+		}
+		switch o {
+		case "full":
+			return len(s) >= 16, s
+		case "maybe":
+			// Either way; porcupine tries both through the two histories below.
+			return true, s
+		}
+		return o == s+i.add && len(s) < 16, s + i.add
+	},
+}
+
+var errFull = errors.New("full")
+
+// TestLinearizable runs rivals over a lossy network with crashing acceptors
+// and checks the history, for many seeds. A change in doubt may take effect at
+// any time after it began, or never.
+func TestLinearizable(t *testing.T) {
+	lost := 0
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			w, set := newWorld(seed, 3, 15)
+			var mu sync.Mutex
+			var ops []porcupine.Operation
+			start := time.Now()
+			now := func() int64 { return int64(time.Since(start)) }
+			var wg sync.WaitGroup
+			for p := range 4 {
+				wg.Go(func() {
+					pr := reg.NewProposer(uint64(p+1), w.call)
+					pr.Retry = 100 * time.Millisecond
+					for i := range 8 {
+						ctx, stop := context.WithTimeout(t.Context(), 400*time.Millisecond)
+						in := input{read: i%3 == 2, add: string(rune('a'+p)) + strconv.Itoa(i)}
+						at := now()
+						var out string
+						var err error
+						if in.read {
+							var st reg.State
+							st, err = pr.Read(ctx, set, "k")
+							out = string(st.Val)
+						} else {
+							var st reg.State
+							st, err = pr.Change(ctx, set, "k", func(s reg.State) ([]byte, bool, error) {
+								if len(s.Val) >= 16 {
+									return nil, false, errFull
+								}
+								return append(append([]byte(nil), s.Val...), in.add...), false, nil
+							})
+							// The state handed back may already hold later changes.
+							if out = string(st.Val); err == nil {
+								out = out[:strings.Index(out, in.add)+2]
+							}
+							if errors.Is(err, errFull) {
+								out, err = "full", nil
+							}
+						}
+						stop()
+						op := porcupine.Operation{ClientId: p, Input: in, Call: at, Output: out, Return: now()}
+						switch {
+						case errors.Is(err, reg.ErrMaybe):
+							// Open to the end of time, with whatever outcome.
+							op.Return, op.Output, op.ClientId = 1<<62, "maybe:"+in.add, 100+p*10+i
+						case err != nil:
+							continue
+						}
+						mu.Lock()
+						ops = append(ops, op)
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Go(func() {
+				for i := range 6 {
+					time.Sleep(150 * time.Millisecond)
+					w.crash(fmt.Sprintf("a%d", i%3))
+				}
+			})
+			wg.Wait()
+			if !explained(ops) {
+				t.Errorf("seed %d: history is not linearizable: %+v", seed, ops)
+			}
+			time.Sleep(time.Second)
+			w.mu.Lock()
+			lost += w.lost
+			w.mu.Unlock()
+		})
+	}
+	if lost == 0 {
+		t.Error("no call was ever lost: the fault did not fire")
+	}
+}
+
+// explained checks the history with each doubtful change taken or left out as
+// the values read show: a word seen in any value did take effect.
+func explained(ops []porcupine.Operation) bool {
+	seen := ""
+	for _, o := range ops {
+		if s := o.Output.(string); len(s) > len(seen) && s != "full" && s[0] != 'm' {
+			seen = s
+		}
+	}
+	var h []porcupine.Operation
+	for _, o := range ops {
+		if s := o.Output.(string); len(s) > 6 && s[:6] == "maybe:" {
+			word, at := s[6:], -1
+			for i := 0; i+2 <= len(seen); i += 2 {
+				if seen[i:i+2] == word {
+					at = i
+				}
+			}
+			if at < 0 {
+				continue
+			}
+			o.Output = seen[:at+2]
+		}
+		h = append(h, o)
+	}
+	return porcupine.CheckOperations(model, h)
+}
+
+// TestCheckerSees feeds the checker a lost update and a stale read.
+func TestCheckerSees(t *testing.T) {
+	op := func(c int, at, end int64, read bool, add, out string) porcupine.Operation {
+		return porcupine.Operation{ClientId: c, Input: input{read, add}, Call: at, Return: end, Output: out}
+	}
+	if explained([]porcupine.Operation{op(1, 0, 1, false, "a0", "a0"), op(2, 2, 3, false, "b0", "b0")}) {
+		t.Error("a lost update passed")
+	}
+	if explained([]porcupine.Operation{op(1, 0, 1, false, "a0", "a0"), op(2, 2, 3, true, "", "")}) {
+		t.Error("a stale read passed")
+	}
+}
+
+// TestOnlyOnce: however often a change is tried again underneath, it takes
+// effect once, and what is said to have failed never does.
+func TestOnlyOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		lose := rapid.IntRange(0, 40).Draw(rt, "lose")
+		synctest.Test(t, func(t *testing.T) {
+			w, set := newWorld(seed, 3, lose)
+			done, maybe := 0, 0
+			for p := range 3 {
+				pr := reg.NewProposer(uint64(p+1), w.call)
+				pr.Retry = 60 * time.Millisecond
+				ctx, stop := context.WithTimeout(t.Context(), 300*time.Millisecond)
+				_, err := pr.Change(ctx, set, "n", func(s reg.State) ([]byte, bool, error) {
+					n, _ := strconv.Atoi(string(s.Val))
+					return []byte(strconv.Itoa(n + 1)), false, nil
+				})
+				stop()
+				switch {
+				case err == nil:
+					done++
+				case errors.Is(err, reg.ErrMaybe):
+					maybe++
+				}
+			}
+			w.mu.Lock()
+			w.lose = 0
+			w.mu.Unlock()
+			st, err := reg.NewProposer(9, w.call).Read(t.Context(), set, "n")
+			if err != nil {
+				rt.Fatal(err)
+			}
+			n, _ := strconv.Atoi(string(st.Val))
+			if n < done || n > done+maybe {
+				rt.Fatalf("%d done, %d in doubt, the register says %d", done, maybe, n)
+			}
+			time.Sleep(time.Second)
+		})
+	})
+}
+
+// TestRefusalBuries: a change that reached one acceptor only, and is then said
+// not to be done, must not come back through that acceptor.
+func TestRefusalBuries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, set := newWorld(1, 3, 0)
+		var later atomic.Bool
+		call := func(ctx context.Context, addr string, q *wire.Req) (*wire.Resp, error) {
+			// Fault: the first accept reaches a2 only, with its answer lost.
+			if q.GetAcc() != nil && !later.Load() {
+				if addr == "a2" {
+					_, _ = w.call(ctx, addr, q)
+				}
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			// And a2 is then out of reach for this proposer.
+			if addr == "a2" && later.Load() {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return w.call(ctx, addr, q)
+		}
+		pr := reg.NewProposer(1, call)
+		tries := 0
+		_, err := pr.Change(t.Context(), set, "k", func(reg.State) ([]byte, bool, error) {
+			if tries++; tries > 1 {
+				return nil, false, errFull
+			}
+			time.AfterFunc(50*time.Millisecond, func() { later.Store(true) })
+			return []byte("ghost"), false, nil
+		})
+		if !errors.Is(err, errFull) || tries != 2 {
+			t.Fatalf("want the refusal at the second try, got %v after %d", err, tries)
+		}
+		// A rival whose majority includes a2 must not find the ghost.
+		st, err := reg.NewProposer(2, w.call).Change(t.Context(), set, "k", nil)
+		if err != nil || len(st.Val) != 0 {
+			t.Fatalf("said not done, and came back: %q %v", st.Val, err)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// TestAge: a restarted replica counts a timed value's whole age again, and the
+// reader takes the youngest.
+func TestAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, set := newWorld(1, 3, 0)
+		pr := reg.NewProposer(1, w.call)
+		if _, err := pr.Change(t.Context(), set, "k", func(reg.State) ([]byte, bool, error) { return []byte("v"), true, nil }); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		st, err := pr.Read(t.Context(), set, "k")
+		if err != nil || st.Age < 9*time.Second {
+			t.Fatalf("age %v, %v", st.Age, err)
+		}
+		for a := range w.acc {
+			w.crash(a)
+		}
+		time.Sleep(time.Second)
+		st, err = pr.Read(t.Context(), set, "k")
+		if err != nil || st.Age > 2*time.Second {
+			t.Fatalf("after restarts age %v, %v", st.Age, err)
+		}
+		time.Sleep(time.Second)
+	})
+}
--- /dev/null
+++ b/proto/spec/types.go
@@ -0,0 +1,110 @@
+// Package spec holds the operators' configuration: its types, its checks and
+// the realm around it, which the system itself keeps (core and store sets).
+package spec
+
+//go:generate go tool easyjson -disallow_unknown_fields types.go
+
+// Spec is what operators write.
+//
+//easyjson:json
+type Spec struct {
+	Name       string    `json:"name"`
+	Zones      []string  `json:"zones"`
+	Runners    []Runner  `json:"runners"`
+	Routes     []Route   `json:"routes"`
+	Platform   string    `json:"platform,omitempty"`
+	Classes    []Class   `json:"classes"`
+	Keeping    []Keeping `json:"keeping"`
+	Budgets    []Budget  `json:"budgets"`
+	EmptyZones []string  `json:"empty_zones,omitempty"`
+	Cooldown   Cooldown  `json:"cooldown"`
+}
+
+// Runner is a back end known by name.
+type Runner struct {
+	Name    string `json:"name"`
+	Addr    string `json:"addr"`
+	Zone    string `json:"zone"`
+	Route   string `json:"route"`
+	Account string `json:"account,omitempty"`
+}
+
+// Route is a protected call: the model, or one tool.
+type Route struct {
+	Name    string `json:"name"`
+	Model   bool   `json:"model,omitempty"`
+	Account string `json:"account,omitempty"`
+}
+
+// Class is a class of work; the list's order says what goes first.
+type Class struct {
+	Name    string `json:"name"`
+	Urgent  bool   `json:"urgent,omitempty"`
+	Reserve int    `json:"reserve_percent,omitempty"`
+}
+
+// Keeping says how long conversations of a class are kept.
+type Keeping struct {
+	Class string `json:"class"`
+	KeepS int64  `json:"keep_s"`
+}
+
+// Budget is the output allowed to each program of a class.
+type Budget struct {
+	Programs string `json:"programs"`
+	Output   int64  `json:"output"`
+}
+
+// Cooldown is the schedule of waits after refusals.
+type Cooldown struct {
+	FirstMs  int64 `json:"first_ms,omitempty"`
+	CapMs    int64 `json:"cap_ms,omitempty"`
+	QuietMs  int64 `json:"quiet_ms,omitempty"`
+	Statuses []int `json:"statuses,omitempty"`
+}
+
+// Machine is a core or store machine of the realm.
+type Machine struct {
+	ID    string `json:"id"`
+	Addr  string `json:"addr"`
+	Zone  string `json:"zone"`
+	Ident string `json:"ident,omitempty"`
+}
+
+// Realm is the register's whole value.
+//
+//easyjson:json
+type Realm struct {
+	Cores  []Machine `json:"cores"`
+	Stores []Machine `json:"stores"`
+	Spec   Spec      `json:"spec"`
+}
+
+// Patch is a small change; what it leaves out stays as it is.
+//
+//easyjson:json
+type Patch struct {
+	Expect     uint64     `json:"expect,omitempty"`
+	EmptyZones *[]string  `json:"empty_zones,omitempty"`
+	Classes    *[]Class   `json:"classes,omitempty"`
+	Keeping    *[]Keeping `json:"keeping,omitempty"`
+	Budgets    *[]Budget  `json:"budgets,omitempty"`
+	Cooldown   *Cooldown  `json:"cooldown,omitempty"`
+	Runners    *[]Runner  `json:"runners,omitempty"`
+}
+
+// Put is a whole replacement with the version it expects.
+//
+//easyjson:json
+type Put struct {
+	Expect uint64 `json:"expect"`
+	Spec   Spec   `json:"spec"`
+}
+
+// State is a spec as read back.
+//
+//easyjson:json
+type State struct {
+	Version uint64 `json:"version"`
+	Spec    Spec   `json:"spec"`
+}
--- /dev/null
+++ b/proto/wire/wire.go
@@ -0,0 +1,81 @@
+// Package wire holds the messages between the system's processes. The types
+// are generated from dt.proto.
+package wire
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative dt.proto
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"damsontiller/xport/code"
+)
+
+// Version is the messages' number; Oldest is the oldest neighbour understood.
+const (
+	Version = 1
+	Oldest  = 1
+)
+
+// Caller sends one request to a peer.
+type Caller func(ctx context.Context, addr string, q *Req) (*Resp, error)
+
+// Fail makes the answer that carries a problem.
+func Fail(err error) *Resp {
+	return &Resp{Ver: Version, Code: uint32(code.Of(err)), Text: code.Text(err)}
+}
+
+// Done is the bare good answer.
+func Done() *Resp { return &Resp{Ver: Version} }
+
+// Err turns an answer's code back into a problem.
+func (r *Resp) Err() error {
+	if r.GetCode() == 0 {
+		return nil
+	}
+	return code.New(code.Code(r.Code), "%s", r.Text)
+}
+
+// Encode and Decode are the one place messages become bytes.
+func Encode(m proto.Message) []byte {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		// Only a message that breaks its own types fails here.
+		panic(err)
+	}
+	return b
+}
+
+// Decode reads m from b.
+func Decode(b []byte, m proto.Message) error {
+	if err := proto.Unmarshal(b, m); err != nil {
+		return code.New(code.Garbled, "message can't be read: %w", err)
+	}
+	return nil
+}
+
+// Cmp orders ballots; a missing one is the lowest.
+func Cmp(a, b *Ballot) int {
+	switch {
+	case a.GetN() != b.GetN():
+		if a.GetN() < b.GetN() {
+			return -1
+		}
+		return 1
+	case a.GetNode() != b.GetNode():
+		if a.GetNode() < b.GetNode() {
+			return -1
+		}
+		return 1
+	}
+	return 0
+}
+
+// Newer tells whether item a goes before b of the same topic and key.
+func Newer(a, b *Item) bool {
+	if a.GetEpoch() != b.GetEpoch() {
+		return a.GetEpoch() > b.GetEpoch()
+	}
+	return a.GetSeq() > b.GetSeq()
+}
--- /dev/null
+++ b/state/vault/vault.go
@@ -0,0 +1,298 @@
+// Package vault keeps a process's state under its one data folder, on pebble.
+// What it says is kept has been synced.
+package vault
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"google.golang.org/protobuf/proto"
+
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+)
+
+// Format is the data folder's version.
+const Format = 1
+
+const (
+	regPre   = "r/"
+	blobPre  = "b/"
+	metaPre  = "m/"
+	livedKey = metaPre + "lived"
+)
+
+// Params open a vault.
+type Params struct {
+	Dir  string
+	ID   string // the machine's name, checked against the folder
+	Role string
+	FS   vfs.FS // nil means the real file system
+	// Grave is how long a past turn is remembered as past.
+	Grave time.Duration
+	Log   func(string, ...any)
+}
+
+// paper is the folder's identity file.
+type paper struct {
+	Format int    `json:"format"`
+	ID     string `json:"id"`
+	Role   string `json:"role"`
+	Ident  string `json:"ident"`
+}
+
+// Vault is an open data folder.
+type Vault struct {
+	p     Params
+	db    *pebble.DB
+	fs    vfs.FS
+	paper paper
+	// Fresh tells that the folder was empty or unreadable, and that the
+	// identity is therefore a new one which must not vote before admission.
+	Fresh bool
+
+	mu    sync.Mutex
+	base  time.Duration // lived before this start
+	start time.Time
+}
+
+// Open opens or creates the folder. A folder of another machine or version is
+// left alone and refused.
+func Open(p Params) (*Vault, error) {
+	v := &Vault{p: p, fs: p.FS, start: time.Now()}
+	if v.fs == nil {
+		v.fs = vfs.Default
+	}
+	if v.p.Grave == 0 {
+		v.p.Grave = 30 * 24 * time.Hour
+	}
+	if v.p.Log == nil {
+		v.p.Log = func(string, ...any) {}
+	}
+	if err := v.fs.MkdirAll(p.Dir, 0o755); err != nil {
+		return nil, code.New(code.DiskProblem, "data folder: %w", err)
+	}
+	known, err := v.readPaper()
+	if err != nil {
+		return nil, err
+	}
+	if !known {
+		if err := v.renew("the folder holds no identity"); err != nil {
+			return nil, err
+		}
+	}
+	if err := v.openDB(); err != nil {
+		// Someone else holding the folder is no reason to take a new identity.
+		if errors.Is(err, pebble.ErrDBAlreadyExists) || v.Fresh || errors.Is(err, errLocked) {
+			return nil, code.New(code.DiskProblem, "data folder: %w", err)
+		}
+		// A forgetful voter breaks agreement: what can't be read is put aside
+		// and the machine comes back as a stranger.
+		v.p.Log("data can't be read, taking a new identity", "err", err)
+		if err := v.renew("the data can't be read"); err != nil {
+			return nil, err
+		}
+		if err := v.openDB(); err != nil {
+			return nil, code.New(code.DiskProblem, "data folder: %w", err)
+		}
+	}
+	b, err := v.get(livedKey)
+	if err != nil {
+		v.db.Close()
+		return nil, err
+	}
+	if len(b) == 8 {
+		v.base = time.Duration(binary.BigEndian.Uint64(b))
+	}
+	return v, nil
+}
+
+var errLocked = errors.New("in use by another process")
+
+func (v *Vault) path(name string) string { return v.fs.PathJoin(v.p.Dir, name) }
+
+func (v *Vault) readPaper() (bool, error) {
+	f, err := v.fs.Open(v.path("IDENT"))
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, code.New(code.DiskProblem, "IDENT: %w", err)
+	}
+	defer f.Close()
+	b, err := io.ReadAll(io.LimitReader(f, 4096))
+	if err != nil {
+		return false, code.New(code.DiskProblem, "IDENT: %w", err)
+	}
+	if err := json.Unmarshal(b, &v.paper); err != nil {
+		return false, nil
+	}
+	if v.paper.Format != Format {
+		return false, code.New(code.FolderVersion, "data folder has format %d, this program keeps %d", v.paper.Format, Format)
+	}
+	if v.paper.ID != v.p.ID || v.paper.Role != v.p.Role {
+		return false, code.New(code.ForeignFolder, "data folder belongs to %s %q, not to %s %q", v.paper.Role, v.paper.ID, v.p.Role, v.p.ID)
+	}
+	return true, nil
+}
+
+// renew puts old data aside and writes a new identity.
+func (v *Vault) renew(why string) error {
+	if _, err := v.fs.Stat(v.path("db")); err == nil {
+		for n := 1; ; n++ {
+			to := v.path(fmt.Sprintf("db.aside-%d", n))
+			if _, err := v.fs.Stat(to); err != nil {
+				if err := v.fs.Rename(v.path("db"), to); err != nil {
+					return code.New(code.DiskProblem, "put aside: %w", err)
+				}
+				break
+			}
+		}
+	}
+	v.Fresh = true
+	v.paper = paper{Format, v.p.ID, v.p.Role, newIdent()}
+	v.p.Log("new identity", "why", why, "ident", v.paper.Ident)
+	b, _ := json.Marshal(v.paper)
+	f, err := v.fs.Create(v.path("IDENT.new"), vfs.WriteCategoryUnspecified)
+	if err != nil {
+		return code.New(code.DiskProblem, "IDENT: %w", err)
+	}
+	if _, err := f.Write(b); err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err == nil {
+		err = v.fs.Rename(v.path("IDENT.new"), v.path("IDENT"))
+	}
+	if err == nil {
+		err = v.syncDir()
+	}
+	if err != nil {
+		return code.New(code.DiskProblem, "IDENT: %w", err)
+	}
+	return nil
+}
+
+func (v *Vault) syncDir() error {
+	d, err := v.fs.OpenDir(v.p.Dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+func newIdent() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func (v *Vault) openDB() error {
+	lock, err := pebble.LockDirectory(v.p.Dir, v.fs)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errLocked, err)
+	}
+	lock.Close()
+	db, err := pebble.Open(v.path("db"), &pebble.Options{FS: v.fs, Logger: quiet{v.p.Log}})
+	if err != nil {
+		return err
+	}
+	v.db = db
+	return nil
+}
+
+// quiet passes on what pebble calls errors only.
+type quiet struct{ log func(string, ...any) }
+
+func (quiet) Infof(string, ...any)        {}
+func (q quiet) Errorf(f string, a ...any) { q.log("pebble", "err", fmt.Sprintf(f, a...)) }
+func (q quiet) Fatalf(f string, a ...any) { panic(fmt.Sprintf("pebble: "+f, a...)) }
+
+// Ident is the identity that this folder stands for.
+func (v *Vault) Ident() string { return v.paper.Ident }
+
+// Close closes the folder.
+func (v *Vault) Close() error {
+	err := v.Tick()
+	return errors.Join(err, v.db.Close())
+}
+
+func (v *Vault) get(key string) ([]byte, error) {
+	b, c, err := v.db.Get([]byte(key))
+	if errors.Is(err, pebble.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, code.New(code.DiskProblem, "read: %w", err)
+	}
+	defer c.Close()
+	return append([]byte(nil), b...), nil
+}
+
+func (v *Vault) put(key string, b []byte) error {
+	if err := v.db.Set([]byte(key), b, pebble.Sync); err != nil {
+		return code.New(code.DiskProblem, "write: %w", err)
+	}
+	return nil
+}
+
+// Load and Save are the acceptor's disk.
+func (v *Vault) Load(key string) (*wire.Rec, error) {
+	r := &wire.Rec{}
+	b, err := v.get(regPre + key)
+	if err != nil || b == nil {
+		return r, err
+	}
+	if err := proto.Unmarshal(b, r); err != nil {
+		return nil, code.New(code.DiskProblem, "record %s: %w", key, err)
+	}
+	return r, nil
+}
+
+// Save returns once the record is synced.
+func (v *Vault) Save(key string, r *wire.Rec) error { return v.put(regPre+key, wire.Encode(r)) }
+
+// Note keeps a small fact of the process's own; Noted reads it.
+func (v *Vault) Note(key string, b []byte) error { return v.put(metaPre+"n/"+key, b) }
+
+// Noted reads what Note kept; nil where there is nothing.
+func (v *Vault) Noted(key string) ([]byte, error) { return v.get(metaPre + "n/" + key) }
+
+// Notes lists what is noted under a prefix.
+func (v *Vault) Notes(prefix string) (map[string][]byte, error) {
+	out := map[string][]byte{}
+	pre := metaPre + "n/" + prefix
+	err := v.each(pre, func(k string, b []byte) error {
+		out[k[len(metaPre+"n/"):]] = append([]byte(nil), b...)
+		return nil
+	})
+	return out, err
+}
+
+func (v *Vault) each(pre string, on func(k string, b []byte) error) error {
+	end := append([]byte(pre[:len(pre)-1]), pre[len(pre)-1]+1)
+	it, err := v.db.NewIter(&pebble.IterOptions{LowerBound: []byte(pre), UpperBound: end})
+	if err != nil {
+		return code.New(code.DiskProblem, "scan: %w", err)
+	}
+	for ok := it.First(); ok && err == nil; ok = it.Next() {
+		err = on(string(it.Key()), it.Value())
+	}
+	if cerr := it.Close(); err == nil && cerr != nil {
+		err = code.New(code.DiskProblem, "scan: %w", cerr)
+	}
+	return err
+}
--- /dev/null
+++ b/xport/code/code.go
@@ -0,0 +1,199 @@
+// Package code numbers every result the system gives. docs/codes.md is the
+// same table in prose; a test holds the two together.
+package code
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// Code is a result number. Its hundreds say who speaks: 1 the door, 2 drops
+// (nothing ran), 3 outcomes of a passed job, 4 control, 5 the wire, 6 start.
+type Code int
+
+const (
+	OK Code = 0
+
+	BadJSON      Code = 101
+	TooLarge     Code = 102
+	UnknownField Code = 103
+	BadHeader    Code = 104
+	NoHeader     Code = 105
+	BadTime      Code = 106
+	NoRoute      Code = 107
+	NoTurn       Code = 108
+	PastKeeping  Code = 109
+	KeyReused    Code = 110
+	BadField     Code = 111
+
+	BacklogFull  Code = 201
+	CutoffPassed Code = 202
+	Cooling      Code = 203
+	NoRunner     Code = 204
+	Stopping     Code = 205
+	HoldPassed   Code = 206
+	TierAway     Code = 207
+	BudgetSpent  Code = 208
+	RunnerDrop   Code = 209
+	NotReady     Code = 210
+
+	OutcomeUnknown Code = 301
+	InProgress     Code = 302
+	NotWhole       Code = 303
+	RunnerProblem  Code = 304
+	NotKept        Code = 305
+
+	SpecConflict Code = 401
+	NotInForce   Code = 402
+	BadSpec      Code = 403
+	CoreAway     Code = 404
+	NoZone       Code = 405
+	LastZone     Code = 406
+	NoVersion    Code = 407
+	NoPath       Code = 408
+	NoMember     Code = 409
+
+	FrameTooLong  Code = 501
+	Garbled       Code = 502
+	WireVersion   Code = 503
+	OldEpoch      Code = 504
+	WrongIdentity Code = 505
+	NotVoting     Code = 506
+	OldBallot     Code = 507
+	UnknownMsg    Code = 508
+	DiskProblem   Code = 509
+	Unreachable   Code = 510
+	Unknown       Code = 511
+	NotHolder     Code = 512
+
+	BadFlag       Code = 601
+	ForeignFolder Code = 602
+	FolderVersion Code = 603
+	NotBootable   Code = 604
+)
+
+// Row is one line of the table.
+type Row struct {
+	Code   Code
+	Name   string
+	Status int // HTTP status given with it; 0 where it never reaches HTTP
+	Ran    string
+}
+
+// Table is the whole list. Ran tells a caller whether the work may have run.
+var Table = []Row{
+	{OK, "ok", 200, "yes"},
+	{BadJSON, "bad_json", 400, "no"},
+	{TooLarge, "too_large", 413, "no"},
+	{UnknownField, "unknown_field", 400, "no"},
+	{BadHeader, "bad_header", 400, "no"},
+	{NoHeader, "no_header", 400, "no"},
+	{BadTime, "bad_time", 400, "no"},
+	{NoRoute, "no_route", 404, "no"},
+	{NoTurn, "no_turn", 404, "no"},
+	{PastKeeping, "past_keeping", 410, "no"},
+	{KeyReused, "key_reused", 422, "no"},
+	{BadField, "bad_field", 400, "no"},
+	{BacklogFull, "backlog_full", 503, "no"},
+	{CutoffPassed, "cutoff_passed", 504, "no"},
+	{Cooling, "cooling", 429, "no"},
+	{NoRunner, "no_runner", 503, "no"},
+	{Stopping, "stopping", 503, "no"},
+	{HoldPassed, "hold_passed", 503, "no"},
+	{TierAway, "tier_away", 503, "no"},
+	{BudgetSpent, "budget_spent", 402, "no"},
+	{RunnerDrop, "runner_drop", 429, "no"},
+	{NotReady, "not_ready", 503, "no"},
+	{OutcomeUnknown, "outcome_unknown", 502, "unknown"},
+	{InProgress, "in_progress", 409, "unknown"},
+	{NotWhole, "not_whole", 502, "unknown"},
+	{RunnerProblem, "runner_problem", 502, "unknown"},
+	{NotKept, "not_kept", 502, "unknown"},
+	{SpecConflict, "spec_conflict", 409, ""},
+	{NotInForce, "not_in_force", 202, ""},
+	{BadSpec, "bad_spec", 400, ""},
+	{CoreAway, "core_away", 503, ""},
+	{NoZone, "no_zone", 404, ""},
+	{LastZone, "last_zone", 409, ""},
+	{NoVersion, "no_version", 404, ""},
+	{NoPath, "no_path", 404, ""},
+	{NoMember, "no_member", 404, ""},
+	{FrameTooLong, "frame_too_long", 0, ""},
+	{Garbled, "garbled", 0, ""},
+	{WireVersion, "wire_version", 0, ""},
+	{OldEpoch, "old_epoch", 0, ""},
+	{WrongIdentity, "wrong_identity", 0, ""},
+	{NotVoting, "not_voting", 0, ""},
+	{OldBallot, "old_ballot", 0, ""},
+	{UnknownMsg, "unknown_msg", 0, ""},
+	{DiskProblem, "disk_problem", 500, ""},
+	{Unreachable, "unreachable", 503, ""},
+	{Unknown, "unknown", 500, ""},
+	{NotHolder, "not_holder", 0, ""},
+	{BadFlag, "bad_flag", 0, ""},
+	{ForeignFolder, "foreign_folder", 0, ""},
+	{FolderVersion, "folder_version", 0, ""},
+	{NotBootable, "not_bootable", 0, ""},
+}
+
+var rows = func() map[Code]Row {
+	m := make(map[Code]Row, len(Table))
+	for _, r := range Table {
+		m[r.Code] = r
+	}
+	return m
+}()
+
+func (c Code) row() Row {
+	if r, ok := rows[c]; ok {
+		return r
+	}
+	return Row{c, fmt.Sprintf("code_%d", int(c)), http.StatusInternalServerError, "unknown"}
+}
+
+// Name is the code's word.
+func (c Code) Name() string { return c.row().Name }
+
+// Status is the HTTP status that goes with the code.
+func (c Code) Status() int { return c.row().Status }
+
+// Ran is "no", "yes", "unknown" or empty.
+func (c Code) Ran() string { return c.row().Ran }
+
+// Problem is an error with a number.
+type Problem struct {
+	Code Code
+	Err  error
+}
+
+func (p *Problem) Error() string { return fmt.Sprintf("%d %s: %v", int(p.Code), p.Code.Name(), p.Err) }
+
+// Unwrap lets errors.Is see what lies below.
+func (p *Problem) Unwrap() error { return p.Err }
+
+// New makes a problem; its words go through fmt.Errorf.
+func New(c Code, format string, a ...any) *Problem {
+	return &Problem{c, fmt.Errorf(format, a...)}
+}
+
+// Of finds the number of an error; an unnumbered one is Unknown.
+func Of(err error) Code {
+	if err == nil {
+		return OK
+	}
+	var p *Problem
+	if errors.As(err, &p) {
+		return p.Code
+	}
+	return Unknown
+}
+
+// Text is the message without the number.
+func Text(err error) string {
+	var p *Problem
+	if errors.As(err, &p) {
+		return p.Err.Error()
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/xport/loop/loop.go
@@ -0,0 +1,60 @@
+// Package loop holds the few loops every duty runs in, so that stop, tick and
+// input are selected on in one place only.
+package loop
+
+import (
+	"context"
+	"time"
+)
+
+// Kick wakes a loop early. It holds one wake-up; more are the same wake-up.
+type Kick chan struct{}
+
+// NewKick makes a kick.
+func NewKick() Kick { return make(Kick, 1) }
+
+// Poke wakes the loop without waiting.
+func (k Kick) Poke() {
+	select {
+	case k <- struct{}{}:
+	default:
+	}
+}
+
+// Every runs step at once, then at each period and each kick, until ctx ends.
+func Every(ctx context.Context, period time.Duration, kick Kick, step func(context.Context)) {
+	step(ctx)
+	Take(ctx, kick, period, func() { step(ctx) }, func(struct{}) { step(ctx) })
+}
+
+// Take hands each input to on and calls tick at each period until ctx ends.
+func Take[T any](ctx context.Context, in <-chan T, period time.Duration, tick func(), on func(T)) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		// A stop goes before any input that is ready as well.
+		if ctx.Err() != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			tick()
+		case v := <-in:
+			on(v)
+		}
+	}
+}
+
+// Wait sleeps for d or until ctx ends; it tells whether the whole time passed.
+func Wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/xport/serve.go
@@ -0,0 +1,107 @@
+package xport
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+
+	"damsontiller/xport/code"
+)
+
+// Handler answers one call; a nil answer means the call is swallowed.
+type Handler func(ctx context.Context, body []byte) []byte
+
+// Server takes calls at one address.
+type Server struct {
+	ln   net.Listener
+	p    Params
+	h    Handler
+	room chan struct{}
+	mu   sync.Mutex
+	open map[net.Conn]func(error)
+	bad  func(error)
+}
+
+// Serve starts taking calls. bad hears of every connection that spoke badly.
+func Serve(ctx context.Context, ln net.Listener, p Params, h Handler, bad func(error)) *Server {
+	s := &Server{ln: ln, p: p, h: h, room: make(chan struct{}, p.Inflight), open: map[net.Conn]func(error){}, bad: bad}
+	go s.accept(ctx)
+	return s
+}
+
+// Close stops taking calls and ends every connection.
+func (s *Server) Close() {
+	s.ln.Close()
+	s.mu.Lock()
+	ends := make([]func(error), 0, len(s.open))
+	for _, end := range s.open {
+		ends = append(ends, end)
+	}
+	s.mu.Unlock()
+	for _, end := range ends {
+		end(net.ErrClosed)
+	}
+}
+
+func (s *Server) accept(ctx context.Context) {
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(ctx, c)
+	}
+}
+
+func (s *Server) serve(ctx context.Context, c net.Conn) {
+	ctx, stop := context.WithCancel(ctx)
+	out := make(chan frame, s.p.Backlog)
+	var once sync.Once
+	end := func(error) {
+		once.Do(func() {
+			stop()
+			c.Close()
+			s.mu.Lock()
+			delete(s.open, c)
+			s.mu.Unlock()
+		})
+	}
+	s.mu.Lock()
+	s.open[c] = end
+	s.mu.Unlock()
+	go writeAll(c, out, ctx.Done(), end)
+	r := bufio.NewReaderSize(c, 64<<10)
+	for {
+		f, err := readFrame(r, s.p.MaxFrame)
+		if err != nil {
+			if n := code.Of(err); n != code.Unknown {
+				s.bad(err)
+				// A neighbour of another version is told before it is let go.
+				if n == code.WireVersion {
+					_ = writeFrame(c, frame{kind: kindAlien})
+				}
+			}
+			end(err)
+			return
+		}
+		if f.kind != kindCall {
+			s.bad(code.New(code.Garbled, "an answer where a call was due"))
+			end(nil)
+			return
+		}
+		// Bounded: past the limit the connection itself pushes back.
+		s.room <- struct{}{}
+		go func() {
+			defer func() { <-s.room }()
+			a := s.h(ctx, f.body)
+			if a == nil {
+				return
+			}
+			select {
+			case out <- frame{kind: kindAnswer, id: f.id, body: a}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
