Stop spreading old cooldowns: brief news items are marked on the item itself

Cause: 'cool' items were kept by nodes without a handler for the topic (stores, cores), whose digests offered them again to edges twice a second; each edge took the wait as new, so a cooldown never ended. Ruled out: slot dealing (sum of slots stood at 8 a runner), the stores' count of ages, repeated refusals (6 in all, as ordered). Test: TestBrief, which failed before.

--- a/coord/news/news.go
+++ b/coord/news/news.go
@@ -37,13 +37,12 @@
 	mu      sync.Mutex
 	all     map[string]*wire.Item
 	on      map[string]func(*wire.Item) error
-	brief   map[string]bool
 	queue   sync.Mutex
 }
 
 // New makes a board and answers News and Digest calls on pr.
 func New(p Params, pr *peer.Peer, members func() []*wire.Member) *Board {
-	b := &Board{p: p, peer: pr, members: members, all: map[string]*wire.Item{}, on: map[string]func(*wire.Item) error{}, brief: map[string]bool{}}
+	b := &Board{p: p, peer: pr, members: members, all: map[string]*wire.Item{}, on: map[string]func(*wire.Item) error{}}
 	pr.On(&wire.Req_News{}, b.relay)
 	pr.On(&wire.Req_Digest{}, b.digest)
 	return b
@@ -53,12 +52,6 @@
 // is not taken, nor confirmed, and will be offered again.
 func (b *Board) On(topic string, f func(*wire.Item) error) { b.on[topic] = f }
 
-// OnBrief is On for a topic that is out of date at once: its items go down the
-// tree but are neither kept nor offered in digests to those who come later.
-func (b *Board) OnBrief(topic string, f func(*wire.Item) error) {
-	b.on[topic], b.brief[topic] = f, true
-}
-
 func name(i *wire.Item) string { return i.Topic + "/" + i.Key }
 
 // Take keeps newer items; it tells whether all are now here.
@@ -81,7 +74,7 @@
 				continue
 			}
 		}
-		if !b.brief[i.Topic] {
+		if !i.Brief {
 			b.mu.Lock()
 			b.all[name(i)] = i
 			b.mu.Unlock()
--- /dev/null
+++ b/coord/news/news_test.go
@@ -0,0 +1,168 @@
+package news_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"damsontiller/coord/news"
+	"damsontiller/coord/peer"
+	"damsontiller/proto/wire"
+	"damsontiller/xport"
+	"damsontiller/xport/memnet"
+)
+
+type town struct {
+	net    *memnet.Net
+	peers  []*peer.Peer
+	boards []*news.Board
+	mu     sync.Mutex
+	heard  map[string]int // id/topic/key: times handled
+	list   []*wire.Member
+}
+
+// newTown makes n nodes in three zones; the first deaf of them have no handler.
+func newTown(t *testing.T, n, deaf int) (*town, context.CancelFunc) {
+	ctx, stop := context.WithCancel(t.Context())
+	w := &town{net: memnet.New(1), heard: map[string]int{}}
+	for i := range n {
+		m := &wire.Member{Id: fmt.Sprintf("n%03d", i), Addr: fmt.Sprintf("h%d", i), Zone: string(rune('a' + i%3)), Live: true}
+		w.list = append(w.list, m)
+		p := peer.New(m, w.net.Host(m.Addr), xport.DefaultParams, hclog.NewNullLogger())
+		b := news.New(news.DefaultParams, p, func() []*wire.Member { return w.list })
+		if i >= deaf {
+			for _, topic := range []string{"x", "brief"} {
+				b.On(topic, func(it *wire.Item) error {
+					w.mu.Lock()
+					w.heard[m.Id+"/"+it.Topic+"/"+it.Key]++
+					w.mu.Unlock()
+					return nil
+				})
+			}
+		}
+		if err := p.Serve(ctx); err != nil {
+			t.Fatal(err)
+		}
+		w.peers, w.boards = append(w.peers, p), append(w.boards, b)
+	}
+	return w, func() {
+		stop()
+		for _, p := range w.peers {
+			p.Close()
+		}
+		time.Sleep(time.Minute)
+	}
+}
+
+func (w *town) count(topic, key string) (n, most int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.list {
+		c := w.heard[m.Id+"/"+topic+"/"+key]
+		if c > 0 {
+			n++
+		}
+		most = max(most, c)
+	}
+	return n, most
+}
+
+// TestTree: everyone hears each item once, and the sender learns that they did.
+func TestTree(t *testing.T) {
+	for _, n := range []int{1, 2, 12, 50, 200} {
+		synctest.Test(t, func(t *testing.T) {
+			w, end := newTown(t, n, 0)
+			defer end()
+			took := w.boards[0].Publish(t.Context(), &wire.Item{Topic: "x", Key: "k", Seq: 1})
+			if got, most := w.count("x", "k"); got != n || most != 1 || len(took) != n {
+				t.Errorf("%d nodes: heard by %d, up to %d times, confirmed by %d", n, got, most, len(took))
+			}
+		})
+	}
+}
+
+// TestRelayDies: with relays gone or hanging, all others hear within half a
+// second, and a hanging one hears once it is back.
+func TestRelayDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, end := newTown(t, 50, 0)
+		defer end()
+		// Members in zone order; the first of a quarter is a relay of the root.
+		w.peers[3].Close() // n003, zone a: refused
+		for _, m := range w.list {
+			if m.Id != "n016" {
+				w.net.Cut("h16", m.Addr, true) // zone b: hangs
+			}
+		}
+		at := time.Now()
+		w.boards[0].Publish(t.Context(), &wire.Item{Topic: "x", Key: "k", Seq: 1})
+		synctest.Wait()
+		for n := 0; n < 48; n, _ = w.count("x", "k") {
+			time.Sleep(10 * time.Millisecond)
+			if time.Since(at) > 3*time.Second {
+				t.Fatalf("heard by %d of 48", n)
+			}
+		}
+		if d := time.Since(at); d > 500*time.Millisecond {
+			t.Errorf("the last heard after %s", d)
+		}
+		for _, m := range w.list {
+			w.net.Cut("h16", m.Addr, false)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { w.boards[16].Run(ctx) })
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+		}
+		stop()
+		wg.Wait()
+		if n, _ := w.count("x", "k"); n != 49 {
+			t.Errorf("after the cut %d of 49 have heard", n)
+		}
+	})
+}
+
+// TestBrief: an item that is out of date at once is not offered again, also
+// not by a node that has no use for its topic.
+func TestBrief(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, end := newTown(t, 6, 2)
+		defer end()
+		w.list[5].Live = false // joins later
+		w.boards[3].Publish(t.Context(), &wire.Item{Topic: "brief", Key: "k", Seq: 1, Brief: true})
+		w.list[5].Live = true
+		ctx, stop := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for _, b := range w.boards {
+			wg.Go(func() { b.Run(ctx) })
+		}
+		time.Sleep(20 * time.Second)
+		stop()
+		wg.Wait()
+		if n, most := w.count("brief", "k"); n != 3 || most != 1 {
+			t.Errorf("heard by %d of 3, up to %d times", n, most)
+		}
+	})
+}
+
+// TestNoSlipBack: an older item changes nothing, whichever way it comes.
+func TestNoSlipBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, end := newTown(t, 2, 0)
+		defer end()
+		w.boards[0].Take([]*wire.Item{{Topic: "x", Key: "k", Epoch: 2, Seq: 1}})
+		w.boards[0].Take([]*wire.Item{{Topic: "x", Key: "k", Epoch: 1, Seq: 9}})
+		if i := w.boards[0].Head("x", "k"); i.Epoch != 2 {
+			t.Errorf("epoch %d", i.Epoch)
+		}
+		if _, most := w.count("x", "k"); most != 1 {
+			t.Errorf("handled %d times", most)
+		}
+	})
+}
--- a/pass/cool/cool.go
+++ b/pass/cool/cool.go
@@ -54,7 +54,7 @@
 // New makes the desk and listens for what others spread.
 func New(p Params, n *node.Node, t *tier.Tier) *Desk {
 	d := &Desk{p: p, n: n, t: t, kick: loop.NewKick(), until: map[string]time.Time{}, kept: map[string]time.Time{}}
-	n.Board.OnBrief("cool", d.hear)
+	n.Board.On("cool", d.hear)
 	return d
 }
 
@@ -231,7 +231,7 @@
 func (d *Desk) tell(key string, w time.Duration) {
 	d.mu.Lock()
 	d.seq++
-	i := &wire.Item{Topic: "cool", Key: d.n.Peer.Self.Id + "/" + key, Epoch: d.n.Peer.Self.Inc, Seq: d.seq}
+	i := &wire.Item{Topic: "cool", Key: d.n.Peer.Self.Id + "/" + key, Epoch: d.n.Peer.Self.Inc, Seq: d.seq, Brief: true}
 	d.mu.Unlock()
 	i.Body, _ = json.Marshal(spread{key, w.Milliseconds()})
 	go d.n.Board.Publish(context.Background(), i)
@@ -307,6 +307,19 @@
 	return d.installs
 }
 
+// All lists the cooldowns this node knows to be in force.
+func (d *Desk) All() map[string]int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]int64{}
+	for k, u := range d.until {
+		if w := time.Until(u); w > 0 {
+			out[k] = w.Milliseconds()
+		}
+	}
+	return out
+}
+
 // Room is what a call needs after a wait.
 func (d *Desk) Room() time.Duration { return d.p.Room }
 
--- a/pass/edge/edge.go
+++ b/pass/edge/edge.go
@@ -123,11 +123,12 @@
 	Sent     uint64           `json:"messages_sent"`
 	Installs uint64           `json:"cooldowns_installed"`
 	Slots    map[string]int   `json:"slots"`
+	Cooling  map[string]int64 `json:"cooling_ms"`
 }
 
 func (e *Edge) status() Status {
 	s := Status{ID: e.Peer.Self.Id, Ready: e.mayTake() == nil, Spec: e.Realm.Now().Ver, Waiting: e.back.Len(), Epoch: e.fence.Top(),
-		Counts: e.Door.Counts(), Rounds: e.Prop.Rounds.Load(), Sent: e.Peer.Sent(), Installs: e.Desk.Count(), Slots: map[string]int{}}
+		Counts: e.Door.Counts(), Rounds: e.Prop.Rounds.Load(), Sent: e.Peer.Sent(), Installs: e.Desk.Count(), Slots: map[string]int{}, Cooling: e.Desk.All()}
 	for _, h := range e.box.Held() {
 		s.Slots[h.Runner] = int(h.Plain + h.Urgent)
 	}
