A duty holder that has been superseded takes its duty anew

Cause: at a start, members that did not yet see e1 took the deal duty under epochs 3 and 4 after e1 had taken epoch 2, then left it to e1; every edge refused epoch 2, and e1 kept doing a duty nobody accepted. No slot was dealt for good. Ruled out: the spec (in force at all), the stores (bound at version 3). Conclusion: who sees a higher epoch than its own leaves, and the turn decides.

--- a/coord/duty/duty.go
+++ b/coord/duty/duty.go
@@ -38,6 +38,13 @@
 	return nil
 }
 
+// See remembers an epoch that somebody else has seen.
+func (f *Fence) See(epoch uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.top = max(f.top, epoch)
+}
+
 // Top is the highest epoch seen.
 func (f *Fence) Top() uint64 {
 	f.mu.Lock()
@@ -63,14 +70,14 @@
 	Lic   *licence.Holder
 	Prop  *reg.Proposer
 	Fence *Fence
-	// Work does the duty until ctx ends or it returns, which it does when an
-	// answer of old_epoch says that another has taken over.
+	// Work does the duty until ctx ends.
 	Work func(ctx context.Context, epoch uint64)
 	// Silence after which a successor looks whether the holder's port is gone.
 	Silence time.Duration
 
 	stop  context.CancelFunc
 	ended chan struct{}
+	epoch uint64
 }
 
 // Order lists the live edge members; those in emptied zones come last.
@@ -107,12 +114,10 @@
 
 func (d *Duty) step(ctx context.Context) {
 	mine := d.mine(ctx)
-	if d.stop != nil {
-		select {
-		case <-d.ended:
-			d.leave()
-		default:
-		}
+	// A higher epoch has been seen: nobody listens to ours any more. Whose turn
+	// it is takes the duty anew, under one that is higher still.
+	if d.stop != nil && d.Fence.Top() > d.epoch {
+		d.leave()
 	}
 	switch {
 	case mine && d.stop == nil:
@@ -158,11 +163,11 @@
 	}
 	d.Peer.Log.Info("duty taken", "duty", d.Name, "epoch", st.Ver)
 	wctx, wstop := context.WithCancel(ctx)
-	d.stop, d.ended = wstop, make(chan struct{})
-	go func() {
-		defer close(d.ended)
+	d.stop, d.ended, d.epoch = wstop, make(chan struct{}), st.Ver
+	go func(ended chan struct{}) {
+		defer close(ended)
 		d.Work(wctx, st.Ver)
-	}()
+	}(d.ended)
 }
 
 func (d *Duty) leave() {
--- a/kit/origin/origin.go
+++ b/kit/origin/origin.go
@@ -87,9 +87,12 @@
 }
 
 // New makes a crowd.
-func New(kinds []Kind, seed uint64, edges func(string) []string) *Crowd {
+func New(kinds []Kind, seed uint64, edges func(string) []string, web http.RoundTripper) *Crowd {
+	if web == nil {
+		web = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 20 * time.Second}
+	}
 	return &Crowd{Kinds: kinds, Seed: seed, Edges: edges, Most: 100, run: strconv.FormatInt(time.Now().UnixNano(), 36),
-		web: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 20 * time.Second}}}
+		web: &http.Client{Transport: web}}
 }
 
 // Ledger is a copy of all that was asked.
--- a/kit/rig/rig.go
+++ b/kit/rig/rig.go
@@ -90,7 +90,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	r := &Rig{P: p, F: f}
-	r.Crowd = origin.New(origin.Kinds(p.Fleet.Deploy), p.Fleet.Seed, r.edges)
+	r.Crowd = origin.New(origin.Kinds(p.Fleet.Deploy), p.Fleet.Seed, r.edges, nil)
 	r.say("%s: %s (seed %d, net 127.%d)", s.Name, s.What, p.Fleet.Seed, f.P.Net)
 	if err := f.Start(ctx); err != nil {
 		return nil, err
--- a/kit/runner/runner.go
+++ b/kit/runner/runner.go
@@ -90,17 +90,25 @@
 	if err != nil {
 		return err
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/report", r.report)
-	mux.HandleFunc("POST /v1/run", r.run)
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	srv := &http.Server{Handler: r.Handler(), ReadHeaderTimeout: 5 * time.Second}
 	r.mu.Lock()
-	r.srv, r.start, r.drained, r.busy, r.prefixes = srv, time.Now(), time.Time{}, 0, nil
+	r.srv = srv
 	r.mu.Unlock()
 	go func() { _ = srv.Serve(ln) }()
 	return nil
 }
 
+// Handler is a new process of this stand-in, whoever serves it.
+func (r *Runner) Handler() http.Handler {
+	r.mu.Lock()
+	r.start, r.drained, r.busy, r.prefixes = time.Now(), time.Time{}, 0, nil
+	r.mu.Unlock()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/report", r.report)
+	mux.HandleFunc("POST /v1/run", r.run)
+	return mux
+}
+
 // Stop ends it at once, as a crash would.
 func (r *Runner) Stop() {
 	r.mu.Lock()
--- /dev/null
+++ b/kit/sim/sim.go
@@ -0,0 +1,483 @@
+// Package sim is a whole fleet in one process, on simulated time and a
+// simulated network, for tests inside a testing/synctest bubble. It runs the
+// product's own code: only the network, the disks and the clock are not real.
+package sim
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
+
+	"damsontiller/coord/core"
+	"damsontiller/coord/licence"
+	"damsontiller/coord/news"
+	"damsontiller/coord/node"
+	"damsontiller/coord/web"
+	"damsontiller/kit/judge"
+	"damsontiller/kit/origin"
+	"damsontiller/kit/runner"
+	"damsontiller/pass/edge"
+	"damsontiller/pass/store"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/state/vault"
+	"damsontiller/xport"
+	"damsontiller/xport/loop"
+	"damsontiller/xport/memnet"
+)
+
+// Machine is one simulated machine.
+type Machine struct {
+	ID, Role, Zone, Addr, HTTP string
+	fs                         *vfs.MemFS
+	live                       *live
+}
+
+type live struct {
+	stop  context.CancelFunc
+	dead  chan struct{}
+	end   func() // waits for its goroutines and closes its disk
+	web   *echo.Echo
+	edge  *edge.Edge
+	core  *core.Core
+	store *store.Store
+	ready chan struct{}
+}
+
+// Sim is the fleet.
+type Sim struct {
+	Net      *memnet.Net
+	Spec     spec.Spec
+	Machines []*Machine
+	Runners  []*runner.Runner
+	Crowd    *origin.Crowd
+	Log      hclog.Logger
+
+	mu      sync.Mutex
+	up      map[string]http.Handler // runners by address
+	events  []judge.Event
+	samples []judge.Sample
+	wg      sync.WaitGroup
+	cores   []spec.Machine
+	stores  []spec.Machine
+	lic     licence.Params
+}
+
+// Params shape a simulated fleet.
+type Params struct {
+	Deploy string // folder of the deployment
+	Seed   uint64
+	Edges  int
+	Bears  int
+	Up     bool
+	Log    bool
+}
+
+// New lays out a fleet of three cores, three stores and some edges.
+func New(p Params) (*Sim, error) {
+	b, err := os.ReadFile(filepath.Join(p.Deploy, "spec.json"))
+	if err != nil {
+		return nil, err
+	}
+	s := &Sim{Net: memnet.New(p.Seed), up: map[string]http.Handler{}, Log: hclog.NewNullLogger(), lic: licence.DefaultParams}
+	if p.Log {
+		s.Log = hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: os.Stderr})
+	}
+	if err := spec.Read(b, &s.Spec); err != nil {
+		return nil, err
+	}
+	s.Spec.Platform = ""
+	for z := range 3 {
+		m := s.add(fmt.Sprintf("c%d", z+1), "core", z, z+1)
+		s.cores = append(s.cores, spec.Machine{ID: m.ID, Addr: m.Addr, Zone: m.Zone})
+	}
+	for z := range 3 {
+		m := s.add(fmt.Sprintf("s%d", z+1), "store", z, 10+z)
+		s.stores = append(s.stores, spec.Machine{ID: m.ID, Addr: m.Addr, Zone: m.Zone})
+	}
+	for i := range max(p.Edges, 1) {
+		s.add(fmt.Sprintf("e%d", i+1), "edge", i%3, 20+i)
+	}
+	for i, r := range s.Spec.Runners {
+		rp := runner.Params{Runner: r, Bears: max(p.Bears, 1), Up: p.Up, Take: 40 * time.Millisecond, Seed: p.Seed*1000 + uint64(i)}
+		if p.Bears == 0 {
+			rp.Bears = 8
+		}
+		if r.Route == "model" {
+			rp.Model, rp.Take = true, 250*time.Millisecond
+		}
+		s.Runners = append(s.Runners, runner.New(rp))
+	}
+	s.Crowd = origin.New(origin.Kinds(p.Deploy), p.Seed, s.edges, s)
+	return s, nil
+}
+
+func (s *Sim) add(id, role string, z, host int) *Machine {
+	ip := fmt.Sprintf("10.0.%d.%d", z+1, host)
+	m := &Machine{ID: id, Role: role, Zone: string(rune('a' + z)), Addr: ip + ":7100", HTTP: ip + ":7200", fs: vfs.NewCrashableMem()}
+	s.Machines = append(s.Machines, m)
+	return m
+}
+
+// Get finds a machine.
+func (s *Sim) Get(id string) *Machine {
+	for _, m := range s.Machines {
+		if m.ID == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// Runner finds a stand-in.
+func (s *Sim) Runner(name string) *runner.Runner {
+	for _, r := range s.Runners {
+		if r.P.Name == name {
+			return r
+		}
+	}
+	return nil
+}
+
+func (s *Sim) edges(zone string) []string {
+	var near, far []string
+	for _, m := range s.Machines {
+		if m.Role != "edge" {
+			continue
+		}
+		if m.Zone == zone {
+			near = append(near, m.HTTP)
+		} else {
+			far = append(far, m.HTTP)
+		}
+	}
+	return append(near, far...)
+}
+
+// Start starts all and waits until the edges serve.
+func (s *Sim) Start(ctx context.Context) error {
+	for _, r := range s.Runners {
+		s.RunnerUp(r.P.Name)
+	}
+	for _, m := range s.Machines {
+		if err := s.Up(ctx, m.ID, true); err != nil {
+			return err
+		}
+	}
+	for _, m := range s.Machines {
+		select {
+		case <-m.live.ready:
+		case <-time.After(time.Minute):
+			return fmt.Errorf("%s does not serve", m.ID)
+		}
+	}
+	loop.Wait(ctx, 3*time.Second)
+	return nil
+}
+
+// RunnerUp starts a runner's process anew; RunnerDown ends it.
+func (s *Sim) RunnerUp(name string) {
+	r := s.Runner(name)
+	h := r.Handler()
+	s.mu.Lock()
+	s.up[r.P.Addr] = h
+	s.mu.Unlock()
+	s.Note(judge.Back, name, 0)
+}
+
+// RunnerDown ends a runner's process as a crash would.
+func (s *Sim) RunnerDown(name string) {
+	r := s.Runner(name)
+	r.Stop()
+	s.mu.Lock()
+	delete(s.up, r.P.Addr)
+	s.mu.Unlock()
+}
+
+// Up starts a machine; first is whether cores form their set.
+func (s *Sim) Up(ctx context.Context, id string, first bool) error {
+	m := s.Get(id)
+	ctx, stop := context.WithCancel(ctx)
+	l := &live{stop: stop, dead: make(chan struct{}), ready: make(chan struct{}), web: web.New(s.Log)}
+	np := node.Params{
+		Self: &wire.Member{Id: m.ID, Role: m.Role, Addr: m.Addr, Http: m.HTTP, Zone: m.Zone},
+		Net:  s.Net.Host(m.Addr), Xport: xport.DefaultParams, Lic: s.lic, News: news.DefaultParams, Log: s.Log.Named(id),
+	}
+	for _, c := range s.cores {
+		np.Seeds = append(np.Seeds, c.Addr)
+	}
+	var v *vault.Vault
+	if m.Role != "edge" {
+		var err error
+		if v, err = vault.Open(vault.Params{Dir: "data", ID: m.ID, Role: m.Role, FS: m.fs}); err != nil {
+			return err
+		}
+		np.Self.Ident = v.Ident()
+	}
+	var start func(context.Context) error
+	var n *node.Node
+	switch m.Role {
+	case "core":
+		c, err := core.New(core.Params{Bootstrap: first, Cores: s.cores, Stores: s.stores, Spec: &s.Spec, AckWait: 5 * time.Second}, np, v)
+		if err != nil {
+			return err
+		}
+		l.core, n = c, c.Node
+		c.Routes(l.web)
+		start = c.Start
+	case "store":
+		st, err := store.New(np, v)
+		if err != nil {
+			return err
+		}
+		l.store, n, start = st, st.Node, st.Start
+	case "edge":
+		p := edge.DefaultParams
+		p.Herd.Web = s
+		e := edge.New(ctx, p, np)
+		l.edge, n, start = e, e.Node, e.Start
+		e.Routes(l.web)
+	}
+	started := make(chan struct{})
+	s.wg.Go(func() {
+		defer close(started)
+		if err := start(ctx); err == nil {
+			close(l.ready)
+		}
+	})
+	l.end = func() {
+		<-started
+		n.Wait()
+		if v != nil {
+			_ = v.Close()
+		}
+	}
+	s.mu.Lock()
+	m.live = l
+	s.mu.Unlock()
+	return nil
+}
+
+// Kill ends a machine's process at once; what it had not synced is lost.
+func (s *Sim) Kill(id string) { s.kill(id, true) }
+
+func (s *Sim) kill(id string, note bool) {
+	m := s.Get(id)
+	s.mu.Lock()
+	l := m.live
+	m.live = nil
+	if note {
+		s.events = append(s.events, judge.Event{At: time.Now(), Kind: judge.Hard, ID: "kill " + id})
+	}
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	m.fs = m.fs.CrashClone(vfs.CrashCloneCfg{})
+	close(l.dead)
+	l.peer().Peer.Close()
+	l.stop()
+	s.wg.Go(l.end)
+}
+
+func (l *live) peer() *node.Node {
+	switch {
+	case l.core != nil:
+		return l.core.Node
+	case l.store != nil:
+		return l.store.Node
+	}
+	return l.edge.Node
+}
+
+// Quit stops an edge in an orderly way.
+func (s *Sim) Quit(id string) {
+	m := s.Get(id)
+	s.Note(judge.Stopping, m.HTTP, 0)
+	m.live.edge.Stop()
+	// Requests under way end; then the process does.
+	time.Sleep(3 * time.Second)
+	m.live.edge.Settle(2 * time.Second)
+	s.kill(id, false)
+	s.Note(judge.Stopped, m.HTTP, 0)
+}
+
+// Wipe gives a machine that does not run an empty disk.
+func (s *Sim) Wipe(id string) { s.Get(id).fs = vfs.NewCrashableMem() }
+
+// Cut cuts machines off from others, both ways, or joins them again.
+func (s *Sim) Cut(of, from []string, on bool) {
+	if on {
+		s.Note(judge.Hard, fmt.Sprintf("cut %v", of), 0)
+	}
+	for _, a := range of {
+		for _, b := range from {
+			if a != b {
+				s.Net.Cut(s.Get(a).Addr, s.Get(b).Addr, on)
+			}
+		}
+	}
+}
+
+// Rest is every machine but those named.
+func (s *Sim) Rest(but ...string) []string {
+	var out []string
+	for _, m := range s.Machines {
+		if !strings.Contains(" "+strings.Join(but, " ")+" ", " "+m.ID+" ") {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// Note writes an event down.
+func (s *Sim) Note(k judge.EventKind, id string, ver uint64) {
+	s.mu.Lock()
+	s.events = append(s.events, judge.Event{At: time.Now(), Kind: k, ID: id, Ver: ver})
+	s.mu.Unlock()
+}
+
+// Edge is a running edge.
+func (s *Sim) Edge(id string) *edge.Edge {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.Get(id).live; l != nil {
+		return l.edge
+	}
+	return nil
+}
+
+// Stop ends all and waits for every goroutine.
+func (s *Sim) Stop() {
+	for _, r := range s.Runners {
+		r.Stop()
+	}
+	for _, m := range s.Machines {
+		s.kill(m.ID, false)
+	}
+	s.wg.Wait()
+	time.Sleep(time.Minute)
+}
+
+// Sample notes the spec version at each edge, until ctx ends.
+func (s *Sim) Sample(ctx context.Context) {
+	loop.Every(ctx, 200*time.Millisecond, nil, func(context.Context) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, m := range s.Machines {
+			if m.live != nil && m.live.edge != nil {
+				select {
+				case <-m.live.ready:
+					s.samples = append(s.samples, judge.Sample{At: time.Now(), ID: m.ID, Ver: m.live.edge.Realm.Now().Ver})
+				default:
+				}
+			}
+		}
+	})
+}
+
+// Judge reads the ledgers.
+func (s *Sim) Judge() (judge.Verdict, *judge.Case) {
+	c := &judge.Case{Spec: &s.Spec, Asks: s.Crowd.Ledger(), Most: s.Crowd.Most}
+	for _, r := range s.Runners {
+		for _, e := range r.Ledger() {
+			c.Runs = append(c.Runs, judge.Run{Entry: e, Runner: r.P.Runner})
+		}
+	}
+	s.mu.Lock()
+	c.Events = append(c.Events, s.events...)
+	c.Samples = append(c.Samples, s.samples...)
+	s.mu.Unlock()
+	return judge.Judge(*c), c
+}
+
+// RoundTrip carries HTTP to edges, cores and runners.
+func (s *Sim) RoundTrip(q *http.Request) (*http.Response, error) {
+	var body []byte
+	if q.Body != nil {
+		var err error
+		if body, err = io.ReadAll(q.Body); err != nil {
+			return nil, err
+		}
+		q.Body.Close()
+	}
+	time.Sleep(time.Millisecond)
+	host := q.URL.Host
+	s.mu.Lock()
+	h, dead := s.up[host], make(chan struct{})
+	for _, m := range s.Machines {
+		if m.HTTP == host && m.live != nil {
+			h, dead = m.live.web, m.live.dead
+		}
+	}
+	s.mu.Unlock()
+	if h == nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	in := q.Clone(ctx)
+	in.Body, in.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	in.RequestURI, in.RemoteAddr, in.Host = q.URL.RequestURI(), "10.9.9.9:1", host
+	in.URL.Host, in.URL.Scheme = "", ""
+	w := &recorder{head: http.Header{}, status: http.StatusOK, done: make(chan struct{})}
+	go func() {
+		defer stop()
+		defer close(w.done)
+		defer func() {
+			if e := recover(); e != nil {
+				if e != http.ErrAbortHandler {
+					panic(e)
+				}
+				w.broken = true
+			}
+		}()
+		h.ServeHTTP(w, in)
+	}()
+	select {
+	case <-w.done:
+	case <-dead:
+		stop()
+		return nil, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+	case <-q.Context().Done():
+		stop()
+		return nil, q.Context().Err()
+	}
+	if w.broken && w.body.Len() == 0 {
+		return nil, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+	}
+	var rd io.Reader = bytes.NewReader(w.body.Bytes())
+	if w.broken {
+		rd = io.MultiReader(rd, brokenOff{})
+	}
+	return &http.Response{StatusCode: w.status, Status: http.StatusText(w.status), Header: w.head, Body: io.NopCloser(rd), ContentLength: -1, Request: q, ProtoMajor: 1, ProtoMinor: 1}, nil
+}
+
+type brokenOff struct{}
+
+func (brokenOff) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+type recorder struct {
+	head   http.Header
+	status int
+	body   bytes.Buffer
+	broken bool
+	done   chan struct{}
+}
+
+func (r *recorder) Header() http.Header         { return r.head }
+func (r *recorder) WriteHeader(s int)           { r.status = s }
+func (r *recorder) Write(b []byte) (int, error) { return r.body.Write(b) }
+func (r *recorder) Flush()                      {}
--- /dev/null
+++ b/kit/sim/sim_test.go
@@ -0,0 +1,89 @@
+package sim_test
+
+import (
+	"context"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damsontiller/kit/judge"
+	"damsontiller/kit/sim"
+)
+
+// run runs a simulated fleet of one deployment under its usual traffic while
+// do causes failures, and fails the test on any breach.
+func run(t *testing.T, deploy string, seed uint64, d time.Duration, do func(ctx context.Context, s *sim.Sim)) *sim.Sim {
+	t.Helper()
+	var s *sim.Sim
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		var err error
+		s, err = sim.New(sim.Params{Deploy: "../../deploy/" + deploy, Seed: seed, Edges: 6, Log: os.Getenv("SIMLOG") != ""})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { s.Sample(ctx) })
+		traffic := make(chan struct{})
+		wg.Go(func() { defer close(traffic); s.Crowd.Run(ctx, d, 1) })
+		time.Sleep(2 * time.Second)
+		do(ctx, s)
+		<-traffic
+		stop()
+		wg.Wait()
+		s.Stop()
+		v, c := s.Judge()
+		if v.Total() > 0 {
+			t.Errorf("%s seed %d: %d breaches\n%s", deploy, seed, v.Total(), v)
+		}
+		ok := 0
+		codes := map[string]int{}
+		for _, a := range c.Asks {
+			if a.Status == 200 {
+				ok++
+			}
+			codes[a.Name]++
+		}
+		t.Logf("%d asks, %d ok, %v", len(c.Asks), ok, codes)
+		if ok == 0 {
+			t.Error("nothing was served")
+		}
+	})
+	return s
+}
+
+func TestHealthy(t *testing.T) {
+	run(t, "andina", 1, 10*time.Second, func(context.Context, *sim.Sim) {})
+}
+
+// TestDealerSuperseded: once any edge has seen a later epoch, the holder takes
+// the duty anew. It used to go on under the old one, refused by all, and no
+// slot was dealt any more.
+func TestDealerSuperseded(t *testing.T) {
+	run(t, "andina", 2, 20*time.Second, func(_ context.Context, s *sim.Sim) {
+		s.Note(judge.Hard, "a later epoch", 0)
+		f := s.Edge("e3").Fence
+		f.See(f.Top() + 1)
+	})
+}
+
+func TestKills(t *testing.T) {
+	for seed := range uint64(3) {
+		run(t, "tsehay", seed, 30*time.Second, func(ctx context.Context, s *sim.Sim) {
+			for _, id := range []string{"e1", "s2", "c3"} {
+				s.Kill(id)
+				time.Sleep(4 * time.Second)
+				if err := s.Up(ctx, id, false); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(4 * time.Second)
+			}
+		})
+	}
+}
--- a/pass/call/call.go
+++ b/pass/call/call.go
@@ -38,11 +38,14 @@
 	Avoid time.Duration
 }
 
-// NewWeb makes the client for runners.
-func NewWeb() *http.Client {
-	d := &net.Dialer{Timeout: time.Second}
+// NewWeb makes the client for runners over t; nil means the ordinary way.
+func NewWeb(t http.RoundTripper) *http.Client {
+	if t == nil {
+		d := &net.Dialer{Timeout: time.Second}
+		t = &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	}
 	return &http.Client{
-		Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second, DisableCompression: true},
+		Transport: t,
 		// A redirect would pass the job to somebody who was not elected.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/pass/edge/edge.go
+++ b/pass/edge/edge.go
@@ -55,7 +55,7 @@
 	dir   *elect.Dir
 	box   *slots.Box
 	back  *backlog.Backlog
-	fence *duty.Fence
+	Fence *duty.Fence
 	duty  *duty.Duty
 	kick  loop.Kick
 	bg    job.Bg
@@ -65,16 +65,16 @@
 
 // New makes an edge. ctx carries what goes on behind an answer.
 func New(ctx context.Context, p Params, np node.Params) *Edge {
-	e := &Edge{Node: node.New(np), p: p, fence: &duty.Fence{}, kick: loop.NewKick(), bg: job.NewBg(ctx)}
+	e := &Edge{Node: node.New(np), p: p, Fence: &duty.Fence{}, kick: loop.NewKick(), bg: job.NewBg(ctx)}
 	t := &tier.Tier{Peer: e.Peer, Realm: e.Realm, Prop: e.Prop}
 	runners := &names.Table{}
 	e.box = slots.New(runners)
 	e.Desk = cool.New(p.Cool, e.Node, t)
 	e.dir = elect.New(e.Node, runners, e.box, e.Desk)
 	e.back = backlog.New(p.Backlog, e.dir, e.box)
-	h := herd.New(p.Herd, e.Node)
-	e.duty = &duty.Duty{Name: "deal", Peer: e.Peer, Realm: e.Realm, Lic: e.Lic, Prop: e.Prop, Fence: e.fence, Work: h.Work, Silence: time.Second}
-	caller := &call.Caller{Desk: e.Desk, Dir: e.dir, MayServe: e.Lic.MayServe, Leaves: e.leaves, Web: call.NewWeb(), Avoid: 2 * time.Second}
+	h := herd.New(p.Herd, e.Node, e.Fence)
+	e.duty = &duty.Duty{Name: "deal", Peer: e.Peer, Realm: e.Realm, Lic: e.Lic, Prop: e.Prop, Fence: e.Fence, Work: h.Work, Silence: time.Second}
+	caller := &call.Caller{Desk: e.Desk, Dir: e.dir, MayServe: e.Lic.MayServe, Leaves: e.leaves, Web: call.NewWeb(p.Herd.Web), Avoid: 2 * time.Second}
 
 	// The way of a job, in the one place where it is fixed. What stands
 	// further out is written down first and settled last.
@@ -127,7 +127,7 @@
 }
 
 func (e *Edge) status() Status {
-	s := Status{ID: e.Peer.Self.Id, Ready: e.mayTake() == nil, Spec: e.Realm.Now().Ver, Waiting: e.back.Len(), Epoch: e.fence.Top(),
+	s := Status{ID: e.Peer.Self.Id, Ready: e.mayTake() == nil, Spec: e.Realm.Now().Ver, Waiting: e.back.Len(), Epoch: e.Fence.Top(),
 		Counts: e.Door.Counts(), Rounds: e.Prop.Rounds.Load(), Sent: e.Peer.Sent(), Installs: e.Desk.Count(), Slots: map[string]int{}, Cooling: e.Desk.All()}
 	for _, h := range e.box.Held() {
 		s.Slots[h.Runner] = int(h.Plain + h.Urgent)
@@ -178,13 +178,13 @@
 	for _, m := range duty.Order(e.Realm.Now(), e.Lic.Members()) {
 		asked := time.Now()
 		r, err := e.Peer.CallFor(ctx, e.p.Herd.Term/4, m.Addr, &wire.Req{Op: &wire.Req_Deal{Deal: &wire.Deal{
-			Epoch: e.fence.Top(), Held: e.box.Held(), Waiting: int32(e.back.Len())}}})
+			Epoch: e.Fence.Top(), Held: e.box.Held(), Waiting: int32(e.back.Len())}}})
 		if err != nil {
 			// Not the dealer, or not there: the next in order may be.
 			continue
 		}
 		a := r.GetDeal()
-		if err := e.fence.Pass(a.Epoch); err != nil {
+		if err := e.Fence.Pass(a.Epoch); err != nil {
 			e.Log.Warn("dealer refused", "id", m.Id, "err", err)
 			continue
 		}
--- a/pass/herd/herd.go
+++ b/pass/herd/herd.go
@@ -37,6 +37,8 @@
 	Fresh int           // slots a fresh runner starts with
 	// Known: a runner up this long that bears well is not fresh to a new dealer.
 	Known time.Duration
+	// Web carries the requests for reports; nil means the ordinary way.
+	Web http.RoundTripper
 }
 
 // DefaultParams are the design's.
@@ -101,15 +103,16 @@
 
 // Duty answers Deal and Tell calls for whichever tenure runs here.
 type Duty struct {
-	p   Params
-	n   *node.Node
-	mu  sync.Mutex
-	cur *Herd
+	p     Params
+	n     *node.Node
+	fence *duty.Fence
+	mu    sync.Mutex
+	cur   *Herd
 }
 
 // New makes the duty's local end.
-func New(p Params, n *node.Node) *Duty {
-	d := &Duty{p: p, n: n}
+func New(p Params, n *node.Node, f *duty.Fence) *Duty {
+	d := &Duty{p: p, n: n, fence: f}
 	n.Peer.On(&wire.Req_Deal{}, d.deal)
 	n.Peer.On(&wire.Req_Tell{}, d.tell)
 	return d
@@ -133,7 +136,7 @@
 // Work is one tenure.
 func (d *Duty) Work(ctx context.Context, epoch uint64) {
 	h := &Herd{p: d.p, n: d.n, epoch: epoch, kick: loop.NewKick(), all: map[string]*runner{}, edges: map[uint64]*edge{},
-		web: &http.Client{Timeout: d.p.Poll}}
+		web: &http.Client{Timeout: d.p.Poll, Transport: d.p.Web}}
 	defer h.web.CloseIdleConnections()
 	h.poll(ctx)
 	d.set(h)
@@ -146,8 +149,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if q.GetDeal().GetEpoch() > h.epoch {
+	if e := q.GetDeal().GetEpoch(); e > h.epoch {
 		// The asker has dealt with a later holder: this tenure is over.
+		d.fence.See(e)
 		d.set(nil)
 		return nil, code.New(code.OldEpoch, "epoch %d is over", h.epoch)
 	}
