--- a/kit/dtrig/main.go
+++ b/kit/dtrig/main.go
@@ -161,7 +161,7 @@
 	}
 	sort.Strings(names)
 	for _, n := range names {
-		fmt.Printf("  %-18s %d\n", n, r.Codes[n])
+		fmt.Printf("  %-18s %5d  %s\n", n, r.Codes[n], r.Words[n])
 	}
 	if len(r.Urgent) > 0 {
 		slices.Sort(r.Urgent)
--- /dev/null
+++ b/kit/judge/judge_test.go
@@ -0,0 +1,126 @@
+package judge_test
+
+import (
+	"testing"
+	"time"
+
+	"damsontiller/kit/judge"
+	"damsontiller/kit/origin"
+	"damsontiller/kit/runner"
+	"damsontiller/proto/spec"
+	"damsontiller/xport/code"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+// clean is a small case without a breach.
+func clean() judge.Case {
+	r := spec.Runner{Name: "a1", Zone: "a", Route: "assets"}
+	m := spec.Runner{Name: "m1", Zone: "a", Route: "model"}
+	c := judge.Case{
+		Spec: &spec.Spec{Zones: []string{"a", "b"}, Routes: []spec.Route{{Name: "model", Model: true}, {Name: "assets"}}, Runners: []spec.Runner{r, m},
+			Budgets: []spec.Budget{{Programs: "*", Output: 100}}},
+		Most: 50,
+	}
+	for i := range 40 {
+		w := string(rune('A'+i%26)) + string(rune('0'+i/26))
+		c.Asks = append(c.Asks, origin.Ask{Program: "p/1", Work: w, Key: w, Route: "assets", Edge: "e1", Sent: at(i * 1000), Done: at(i*1000 + 50), Wait: 5 * time.Second, Status: 200, Job: "j" + w})
+		c.Runs = append(c.Runs, judge.Run{Runner: r, Entry: runner.Entry{Job: "j" + w, Work: w, Program: "p/1", Arrived: at(i*1000 + 10), Ran: true, Answered: at(i*1000 + 40)}})
+	}
+	c.Runs = append(c.Runs, judge.Run{Runner: m, Entry: runner.Entry{Job: "jm", Work: "mm", Program: "p/1", Arrived: at(5), Ran: true, Output: 100, Answered: at(20)}})
+	return c
+}
+
+// TestEachBreach feeds the judge one breach of each kind and sees it caught,
+// and nothing else with it.
+func TestEachBreach(t *testing.T) {
+	cases := []struct {
+		line judge.Line
+		what string
+		do   func(*judge.Case)
+	}{
+		{judge.Twice, "keyed work ran on two runners", func(c *judge.Case) {
+			c.Runs = append(c.Runs, judge.Run{Runner: c.Spec.Runners[0], Entry: runner.Entry{Job: "other", Work: "A0", Arrived: at(100), Ran: true}})
+		}},
+		{judge.NotRun, "told not run, by job", func(c *judge.Case) {
+			c.Asks[3].Key, c.Asks[3].Status, c.Asks[3].Ran = "", 503, "no"
+		}},
+		{judge.NotRun, "told not run, by key, and run under another job", func(c *judge.Case) {
+			c.Asks[3].Status, c.Asks[3].Ran, c.Asks[3].Job = 503, "no", "jx"
+		}},
+		{judge.Forgot, "history not given", func(c *judge.Case) { c.Asks[1].Turn, c.Asks[1].Forgot = true, true }},
+		{judge.Forgot, "told that a kept turn is unknown", func(c *judge.Case) {
+			c.Asks[1].Follows, c.Asks[1].Code, c.Asks[1].Status, c.Asks[1].Ran, c.Asks[1].Job = true, int(code.NoTurn), 404, "", "none"
+		}},
+		{judge.Budget, "more than a turn over", func(c *judge.Case) {
+			c.Runs = append(c.Runs, judge.Run{Runner: c.Spec.Runners[1], Entry: runner.Entry{Job: "j9", Work: "w9", Program: "p/1", Arrived: at(30), Ran: true, Output: 51}})
+		}},
+		{judge.NotWhole, "another's answer", func(c *judge.Case) { c.Asks[2].Wrong = "work:other" }},
+		{judge.Leaving, "work after 3 s", func(c *judge.Case) {
+			c.Events = append(c.Events, judge.Event{At: at(36500), Kind: judge.Drained, ID: "a1"})
+			c.Runs = c.Runs[:40] // the last arrives at 39010
+			c.Runs[39].Arrived = at(39600)
+		}},
+		{judge.Emptied, "work after 5 s", func(c *judge.Case) {
+			c.Events = append(c.Events, judge.Event{At: at(33500), Kind: judge.Empty, ID: "a"})
+		}},
+		{judge.Spec, "not in force after 2 s", func(c *judge.Case) {
+			c.Events = append(c.Events, judge.Event{At: at(1000), Kind: judge.Acked, Ver: 7})
+			c.Samples = append(c.Samples, judge.Sample{At: at(3100), ID: "e1", Ver: 6})
+		}},
+		{judge.Spec, "slipped back", func(c *judge.Case) {
+			c.Samples = append(c.Samples, judge.Sample{At: at(100), ID: "e1", Ver: 7}, judge.Sample{At: at(200), ID: "e1", Ver: 6})
+		}},
+		{judge.Spec, "missing at the end", func(c *judge.Case) {
+			c.Events = append(c.Events, judge.Event{At: at(1000), Kind: judge.Acked, Ver: 7}, judge.Event{At: at(9000), Kind: judge.FinalRead, Ver: 6})
+		}},
+		{judge.Fresh, "more than it bears while coming up", func(c *judge.Case) { c.Runs[5].Fresh, c.Runs[5].Over = true, true }},
+		{judge.Planned, "taken and never answered", func(c *judge.Case) {
+			c.Events = append(c.Events, judge.Event{At: at(1990), Kind: judge.Stopping, ID: "e1"}, judge.Event{At: at(2900), Kind: judge.Stopped, ID: "e1"})
+			c.Asks[2].Lost, c.Asks[2].Status = true, 0
+		}},
+		{judge.Planned, "told to go elsewhere too late", func(c *judge.Case) {
+			c.Events = append(c.Events, judge.Event{At: at(1990), Kind: judge.Stopping, ID: "e1"}, judge.Event{At: at(2900), Kind: judge.Stopped, ID: "e1"})
+			c.Asks[2].Code, c.Asks[2].Status, c.Asks[2].Done = int(code.Stopping), 503, at(2600)
+		}},
+		{judge.Early, "called within another's wait", func(c *judge.Case) {
+			c.Runs = append(c.Runs, judge.Run{Runner: c.Spec.Runners[0], Entry: runner.Entry{Job: "j9", Work: "w9", Arrived: at(4100), Refused: true, Wait: time.Second, Answered: at(4110)}})
+		}},
+		{judge.Early, "left sleeping", func(c *judge.Case) {
+			c.Runs = append(c.Runs[:10:10], judge.Run{Runner: c.Spec.Runners[0], Entry: runner.Entry{Job: "j9", Work: "w9", Arrived: at(38000), Refused: true, Wait: 30 * time.Second, Answered: at(38000)}})
+			c.Asks[39].Status, c.Asks[39].Ran, c.Asks[39].Done = 429, "no", at(43000)
+		}},
+		{judge.Recovery, "back only after 13 s", func(c *judge.Case) {
+			c.Events = append(c.Events, judge.Event{At: at(4500), Kind: judge.Hard, ID: "kill"})
+			for i := 5; i < 18; i++ {
+				c.Asks[i].Status, c.Asks[i].Lost = 0, true
+			}
+		}},
+		{judge.Recovery, "never back", func(c *judge.Case) {
+			c.Events = append(c.Events, judge.Event{At: at(4500), Kind: judge.Hard, ID: "kill"})
+			for i := 5; i < 40; i++ {
+				c.Asks[i].Status, c.Asks[i].Lost = 0, true
+			}
+		}},
+	}
+	if v := judge.Judge(clean()); v.Total() != 0 {
+		t.Fatalf("the clean case has breaches:\n%s", v)
+	}
+	seen := map[judge.Line]bool{}
+	for _, tc := range cases {
+		c := clean()
+		tc.do(&c)
+		v := judge.Judge(c)
+		if len(v[tc.line]) == 0 || len(v) != 1 {
+			t.Errorf("%s: want only line %d (%s):\n%s", tc.what, tc.line, judge.Names[tc.line], v)
+		}
+		seen[tc.line] = true
+	}
+	for l := judge.Twice; l <= judge.Recovery; l++ {
+		if !seen[l] {
+			t.Errorf("line %d (%s) has no breach to catch", l, judge.Names[l])
+		}
+	}
+}
--- a/kit/origin/origin.go
+++ b/kit/origin/origin.go
@@ -30,7 +30,7 @@
 	Sent, Done                                   time.Time
 	Wait                                         time.Duration // the caller's, or what the program had left
 	Status, Code                                 int
-	Name, Ran, Job                               string
+	Name, Ran, Job, Problem                      string
 	RetryAfter                                   time.Duration
 	Lost                                         bool // no answer came
 	Refused                                      bool // nobody listened: the request was never taken
@@ -179,6 +179,7 @@
 	Code       int    `json:"code"`
 	Name       string `json:"name"`
 	Ran        string `json:"ran"`
+	Problem    string `json:"problem"`
 	NotBefore  string `json:"not_before"`
 	WaitMillis int64  `json:"wait_ms"`
 }
@@ -260,7 +261,7 @@
 		a.Lost = !a.Refused
 		return ans
 	}
-	a.Status, a.Code, a.Name, a.Ran, a.Job = r.StatusCode, ans.Code, ans.Name, ans.Ran, ans.Job
+	a.Status, a.Code, a.Name, a.Ran, a.Job, a.Problem = r.StatusCode, ans.Code, ans.Name, ans.Ran, ans.Job, ans.Problem
 	a.Held, a.Runner, a.Output = ans.Held, ans.Runner, ans.Output
 	if n, err := strconv.Atoi(r.Header.Get("Retry-After")); err == nil {
 		a.RetryAfter = time.Duration(n) * time.Second
--- a/kit/rig/rig.go
+++ b/kit/rig/rig.go
@@ -45,6 +45,7 @@
 	Verdict  judge.Verdict
 	Asks     int
 	Codes    map[string]int
+	Words    map[string]string // an example of what was said with each code
 	Runs     int
 	Early    int
 	Held     int
@@ -285,7 +286,7 @@
 	c.Events = append(c.Events, r.events...)
 	c.Samples = append(c.Samples, r.samples...)
 	r.mu.Unlock()
-	res := &Result{Scenario: name, Seed: r.P.Fleet.Seed, Verdict: judge.Judge(c), Asks: len(c.Asks), Runs: len(c.Runs), Codes: map[string]int{}}
+	res := &Result{Scenario: name, Seed: r.P.Fleet.Seed, Verdict: judge.Judge(c), Asks: len(c.Asks), Runs: len(c.Runs), Codes: map[string]int{}, Words: map[string]string{}}
 	for _, a := range c.Asks {
 		switch {
 		case a.Lost:
@@ -302,6 +303,7 @@
 			}
 		default:
 			res.Codes[a.Name]++
+			res.Words[a.Name] = a.Problem
 		}
 	}
 	for _, e := range c.Runs {
