Count what a silent edge may have left running against its runner's slots

Cause: of an edge whose term was over only the slots in use at its last word were held back; it may have used its whole share since. Found by TestSumNeverExceeds (rapid) at test 66: 9 slots held of a runner that bears 8. Now its whole share is held back, bounded by what the runner reports at any time since, so a quiet runner gives all back at its next report. Also: the data folder's own entries are synced (TestPowerLoss: the identity was lost with the folder after a power loss).

--- a/kit/sim/sim.go
+++ b/kit/sim/sim.go
@@ -222,7 +222,7 @@
 	var v *vault.Vault
 	if m.Role != "edge" {
 		var err error
-		if v, err = vault.Open(vault.Params{Dir: "data", ID: m.ID, Role: m.Role, FS: m.fs}); err != nil {
+		if v, err = vault.Open(vault.Params{Dir: "/data", ID: m.ID, Role: m.Role, FS: m.fs}); err != nil {
 			return err
 		}
 		np.Self.Ident = v.Ident()
--- a/pass/herd/herd.go
+++ b/pass/herd/herd.go
@@ -67,15 +67,21 @@
 	ghost int
 }
 
-// share is what an edge may hold of a runner.
-type share struct{ plain, urgent, busy int }
+// share is what an edge may hold of a runner. Once the edge's term is over,
+// left bounds what it may have left running there.
+type share struct {
+	plain, urgent int
+	used          int // at the edge's last word
+	over          bool
+	left          int
+}
 
 // edge is one start of an edge node; past is set once another start of the
 // same node has been heard.
 type edge struct {
 	id      string
 	waiting int
-	busy    int
+	busy    int // slots in use, of all runners
 	at      time.Time
 	past    bool
 	held    map[string]share
@@ -283,6 +289,7 @@
 		}
 	} else {
 		o.misses = 0
+		h.leftovers(now, o, rep.Busy)
 		o.State.State, o.Bears, o.Busy, o.Prefixes = rep.State, max(rep.Bears, 0), rep.Busy, rep.Prefixes
 		h.warm(now, o, rep)
 	}
@@ -303,6 +310,24 @@
 	return s
 }
 
+// leftovers bounds what edges that are gone have left running: each may have
+// used its whole share up to the end of its term, but never more than the
+// runner reports at any time since.
+func (h *Herd) leftovers(now time.Time, o *runner, busy int) {
+	o.ghost = min(o.ghost, busy)
+	for _, e := range h.edges {
+		s, ok := e.held[o.Name]
+		if !ok || !e.over(now, h.p.Term) {
+			continue
+		}
+		if !s.over {
+			s.over, s.left = true, s.plain+s.urgent
+		}
+		s.left = min(s.left, busy)
+		e.held[o.Name] = s
+	}
+}
+
 // warm sets what may be dealt: a fresh runner starts with few and doubles
 // while its own reports show no refusals.
 func (h *Herd) warm(now time.Time, o *runner, rep *report.Report) {
@@ -346,16 +371,23 @@
 			return
 		}
 	}
+	h.begin()
+	h.n.Log.Info("dealing is open", "epoch", h.epoch)
+}
+
+// begin opens the dealing. Work that runs now and that no edge accounts for was
+// left by edges that are gone.
+func (h *Herd) begin() {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.open, h.opened = true, time.Now()
 	for _, o := range h.all {
+		o.ghost = o.Busy
 		for _, e := range h.edges {
-			o.ghost -= e.held[o.Name].busy
+			o.ghost -= e.held[o.Name].used
 		}
-		o.ghost = max(o.ghost+o.Busy, 0)
+		o.ghost = max(o.ghost, 0)
 	}
-	h.mu.Unlock()
-	h.n.Log.Info("dealing is open", "epoch", h.epoch)
 }
 
 // Ask answers one edge. raise is whether this dealer's licence is valid.
@@ -380,7 +412,7 @@
 	}
 	e.at, e.waiting, e.busy, e.held = now, int(q.Waiting), 0, map[string]share{}
 	for _, s := range q.Held {
-		e.held[s.Runner] = share{int(s.Plain), int(s.Urgent), int(s.Busy)}
+		e.held[s.Runner] = share{plain: int(s.Plain), urgent: int(s.Urgent), used: int(s.Busy)}
 		e.busy += int(s.Busy)
 	}
 	out := &wire.DealAck{Epoch: h.epoch, TermMs: h.p.Term.Milliseconds()}
@@ -394,7 +426,7 @@
 		room -= max(urgent-cur.urgent, 0)
 		plain := min(want.plain, cur.plain+room)
 		// Until the edge says that it holds less, it may hold the more.
-		e.held[name] = share{max(plain, cur.plain), max(urgent, cur.urgent), cur.busy}
+		e.held[name] = share{plain: max(plain, cur.plain), urgent: max(urgent, cur.urgent), used: cur.used}
 		if plain+urgent > 0 {
 			out.Slots = append(out.Slots, &wire.Slot{Runner: name, Plain: int32(plain), Urgent: int32(urgent)})
 		}
@@ -412,16 +444,14 @@
 	for _, e := range h.edges {
 		s := e.held[o.Name]
 		switch {
-		case !e.over(now, h.p.Term):
+		case !s.over:
 			total -= s.plain + s.urgent
 		case now.Sub(e.at) < h.n.P.Lic.Hold:
-			// What was in use at last word may still run, as far as the
-			// runner says that it runs anything.
-			total -= min(s.busy, o.Busy)
+			total -= s.left
 		}
 	}
 	if now.Sub(h.opened) < h.n.P.Lic.Hold {
-		total -= min(o.ghost, o.Busy)
+		total -= o.ghost
 	}
 	return total
 }
--- /dev/null
+++ b/pass/herd/herd_test.go
@@ -0,0 +1,187 @@
+package herd
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"pgregory.net/rapid"
+
+	"damsontiller/coord/licence"
+	"damsontiller/coord/node"
+	"damsontiller/pass/names"
+	"damsontiller/pass/report"
+	"damsontiller/pass/slots"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/xport"
+	"damsontiller/xport/memnet"
+)
+
+const runnerName = "m1"
+
+func newHerd(epoch uint64) *Herd {
+	n := node.New(node.Params{Self: &wire.Member{Id: "d"}, Net: memnet.New(1).Host("d"), Xport: xport.DefaultParams, Lic: licence.DefaultParams, Log: hclog.NewNullLogger()})
+	re := spec.Realm{Spec: spec.Spec{Classes: []spec.Class{{Name: "u", Urgent: true, Reserve: 25}}}}
+	raw, err := re.MarshalJSON()
+	if err == nil {
+		err = n.Realm.Apply(1, raw)
+	}
+	if err != nil {
+		panic(err)
+	}
+	return &Herd{p: DefaultParams, n: n, epoch: epoch, all: map[string]*runner{}, edges: map[uint64]*edge{}}
+}
+
+type box struct {
+	b     *slots.Box
+	inc   uint64
+	ix    int
+	taken []slots.Kind
+	epoch uint64
+	cut   bool
+}
+
+func (e *box) total() int {
+	n := 0
+	for _, s := range e.b.Held() {
+		n += int(s.Plain + s.Urgent)
+	}
+	return n
+}
+
+// TestSumNeverExceeds plays edges that ask, work, go silent, restart and are
+// late, under one dealer after another, while the runner's strength changes.
+// At no moment may the shares of all edges together exceed what it bears at
+// most.
+func TestSumNeverExceeds(t *testing.T) {
+	fired := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
+			return step{edge: rapid.IntRange(0, 3).Draw(rt, "edge"), what: rapid.IntRange(0, 10).Draw(rt, "what"), n: rapid.IntRange(0, 2500).Draw(rt, "n")}
+		}), 10, 80).Draw(rt, "plan")
+		wrong := ""
+		synctest.Test(t, func(*testing.T) { wrong = play(plan, &fired) })
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
+	})
+	if fired == 0 {
+		t.Error("the dealer never changed")
+	}
+}
+
+type step struct{ edge, what, n int }
+
+// play carries out a plan and tells what went wrong.
+func play(plan []step, fired *int) string {
+	const bears = 8
+	h := newHerd(1)
+	var edges []*box
+	left := 0 // jobs still running of edges that were restarted
+	inc := uint64(0)
+	fresh := func() *box {
+		inc++
+		n := &names.Table{}
+		return &box{b: slots.New(n), inc: inc, ix: n.Ix(runnerName)}
+	}
+	note := func() {
+		// The runner reports what runs on it.
+		busy := left
+		for _, e := range edges {
+			busy += len(e.taken)
+		}
+		h.note(time.Now(), spec.Runner{Name: runnerName, Zone: "a"}, &report.Report{Name: runnerName, State: report.Ready, Bears: bears, Busy: busy, UpMs: 60000}, false)
+	}
+	note()
+	h.open = true
+	ids := []string{"e1", "e2", "e3", "e4"}
+	for range ids {
+		edges = append(edges, fresh())
+	}
+	heard := map[int]bool{}
+	for at, s := range plan {
+		e := edges[s.edge]
+		switch s.what {
+		case 0, 1, 2, 3: // ask, perhaps with a late answer
+			if e.cut || e.epoch > h.epoch {
+				break
+			}
+			asked := time.Now()
+			a := h.Ask(ids[s.edge], e.inc, &wire.Deal{Held: e.b.Held(), Waiting: int32(s.n % 10)}, true)
+			time.Sleep(time.Duration(s.n%200) * time.Millisecond)
+			e.epoch = a.Epoch
+			e.b.Deal(asked, time.Duration(a.TermMs)*time.Millisecond, a.Slots)
+			if heard[s.edge] = true; len(heard) == len(edges) && !h.open {
+				note()
+				h.begin()
+			}
+		case 4, 5:
+			if k, ok := e.b.Take(e.ix, s.n%2 == 0); ok {
+				e.taken = append(e.taken, k)
+			}
+		case 6:
+			if len(e.taken) > 0 {
+				e.b.Give(e.ix, e.taken[0])
+				e.taken = e.taken[1:]
+			} else if left > 0 {
+				left--
+			}
+		case 7:
+			e.cut = !e.cut
+		case 8: // a new dealer that knows nothing; the old one is gone
+			h = newHerd(h.epoch + 1)
+			note()
+			heard = map[int]bool{}
+			*fired++
+		case 10: // the edge is killed and starts anew; its jobs run on
+			left += len(e.taken)
+			edges[s.edge] = fresh()
+		case 9:
+			time.Sleep(time.Duration(s.n) * time.Millisecond)
+		}
+		if s.n%3 == 0 {
+			note()
+		}
+		sum := left
+		for _, e := range edges {
+			sum += e.total()
+		}
+		if sum > bears {
+			return fmt.Sprintf("after step %d the edges hold %d slots of a runner that bears %d", at, sum, bears)
+		}
+	}
+	return ""
+}
+
+// TestFreshClimbs: a runner that has just come up gets few, then more, and no
+// more while it refuses.
+func TestFreshClimbs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHerd(1)
+		rep := func(refused int64) int {
+			h.note(time.Now(), spec.Runner{Name: runnerName}, &report.Report{Name: runnerName, State: report.Ready, Bears: 16, Refused: refused}, false)
+			return h.all[runnerName].cap
+		}
+		want := []int{2, 4, 8, 16, 16}
+		for i, w := range want {
+			if got := rep(0); got != w {
+				t.Errorf("second %d: %d, want %d", i, got, w)
+			}
+			time.Sleep(time.Second)
+		}
+		h.note(time.Now(), spec.Runner{Name: runnerName}, nil, true)
+		if c := h.all[runnerName].cap; c != 0 {
+			t.Errorf("gone, and still dealt %d", c)
+		}
+		if got := rep(3); got != 2 {
+			t.Errorf("back, and dealt %d at once", got)
+		}
+		time.Sleep(time.Second)
+		if got := rep(4); got != 2 {
+			t.Errorf("it refuses, and is dealt %d", got)
+		}
+	})
+}
--- a/state/vault/vault.go
+++ b/state/vault/vault.go
@@ -82,6 +82,13 @@
 	if err := v.fs.MkdirAll(p.Dir, 0o755); err != nil {
 		return nil, code.New(code.DiskProblem, "data folder: %w", err)
 	}
+	// The entries that lead to the folder must last too, or all in it goes
+	// with them.
+	for dir := p.Dir; dir != v.fs.PathDir(dir); dir = v.fs.PathDir(dir) {
+		if err := v.syncDir(v.fs.PathDir(dir)); err != nil {
+			return nil, code.New(code.DiskProblem, "data folder: %w", err)
+		}
+	}
 	known, err := v.readPaper()
 	if err != nil {
 		return nil, err
@@ -177,7 +184,7 @@
 		err = v.fs.Rename(v.path("IDENT.new"), v.path("IDENT"))
 	}
 	if err == nil {
-		err = v.syncDir()
+		err = v.syncDir(v.p.Dir)
 	}
 	if err != nil {
 		return code.New(code.DiskProblem, "IDENT: %w", err)
@@ -185,8 +192,8 @@
 	return nil
 }
 
-func (v *Vault) syncDir() error {
-	d, err := v.fs.OpenDir(v.p.Dir)
+func (v *Vault) syncDir(dir string) error {
+	d, err := v.fs.OpenDir(dir)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/state/vault/vault_test.go
@@ -0,0 +1,183 @@
+package vault_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"damsontiller/proto/wire"
+	"damsontiller/state/vault"
+	"damsontiller/xport/code"
+)
+
+func open(t *testing.T, fs vfs.FS, id string) *vault.Vault {
+	t.Helper()
+	v, err := vault.Open(vault.Params{Dir: "/data", ID: id, Role: "store", FS: fs, Grave: time.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// TestPowerLoss: whatever was said to be kept is there after the power goes at
+// any moment, and the identity with it.
+func TestPowerLoss(t *testing.T) {
+	fs := vfs.NewCrashableMem()
+	v := open(t, fs, "s1")
+	if !v.Fresh {
+		t.Error("an empty folder is not fresh")
+	}
+	for i := range 50 {
+		k := fmt.Sprintf("k%d", i)
+		if err := v.Save(k, &wire.Rec{Promised: &wire.Ballot{N: uint64(i)}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := v.PutBlob(k, []byte(k), time.Hour); err != nil {
+			t.Fatal(err)
+		}
+		// The power goes: nothing that was not synced survives.
+		w := open(t, fs.CrashClone(vfs.CrashCloneCfg{}), "s1")
+		if w.Fresh || w.Ident() != v.Ident() {
+			t.Fatalf("after %d writes the identity is lost", i)
+		}
+		for j := 0; j <= i; j += 7 {
+			k := fmt.Sprintf("k%d", j)
+			r, err := w.Load(k)
+			if err != nil || r.Promised.GetN() != uint64(j) {
+				t.Fatalf("record %s after %d writes: %v %v", k, i, r, err)
+			}
+			if g, err := w.GetBlob(k); err != nil || string(g.Val) != k {
+				t.Fatalf("blob %s after %d writes: %v %v", k, i, g, err)
+			}
+		}
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := v.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestForeign: a folder of another machine or version is refused and left alone.
+func TestForeign(t *testing.T) {
+	fs := vfs.NewMem()
+	if err := open(t, fs, "s1").Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, err := vault.Open(vault.Params{Dir: "/data", ID: "s2", Role: "store", FS: fs})
+	if code.Of(err) != code.ForeignFolder {
+		t.Errorf("another machine's folder: %v", err)
+	}
+	_, err = vault.Open(vault.Params{Dir: "/data", ID: "s1", Role: "core", FS: fs})
+	if code.Of(err) != code.ForeignFolder {
+		t.Errorf("another role's folder: %v", err)
+	}
+	write(t, fs, "/data/IDENT", `{"format":2,"id":"s1","role":"store","ident":"x"}`)
+	_, err = vault.Open(vault.Params{Dir: "/data", ID: "s1", Role: "store", FS: fs})
+	if code.Of(err) != code.FolderVersion {
+		t.Errorf("another version's folder: %v", err)
+	}
+}
+
+func write(t *testing.T, fs vfs.FS, name, s string) {
+	t.Helper()
+	f, err := fs.Create(name, vfs.WriteCategoryUnspecified)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Write([]byte(s)); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestUnreadable: what can't be read is put aside, and the machine comes back
+// as a stranger rather than as a forgetful voter.
+func TestUnreadable(t *testing.T) {
+	for _, what := range []string{"/data/IDENT", "db"} {
+		fs := vfs.NewMem()
+		v := open(t, fs, "s1")
+		old := v.Ident()
+		if err := v.Save("k", &wire.Rec{Promised: &wire.Ballot{N: 9}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := v.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if what == "db" {
+			names, err := fs.List("/data/db")
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, n := range names {
+				write(t, fs, "/data/db/"+n, "garbage")
+			}
+		} else {
+			write(t, fs, what, "garbage")
+		}
+		v = open(t, fs, "s1")
+		if !v.Fresh || v.Ident() == old {
+			t.Errorf("%s garbled: the old identity lives on", what)
+		}
+		if r, err := v.Load("k"); err != nil || r.Promised != nil {
+			t.Errorf("%s garbled: %v %v", what, r, err)
+		}
+		if err := v.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestKeeping: a turn is kept for its time while the folder is open, past its
+// time it is said to be past, and a night switched off does not count.
+func TestKeeping(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := vfs.NewMem()
+		v := open(t, fs, "s1")
+		if err := v.PutBlob("k", []byte("v"), time.Hour); err != nil {
+			t.Fatal(err)
+		}
+		// Put again with less: a promise is never shortened.
+		if err := v.PutBlob("k", []byte("v"), time.Minute); err != nil {
+			t.Fatal(err)
+		}
+		state := func(want wire.Got_State) {
+			t.Helper()
+			if g, err := v.GetBlob("k"); err != nil || g.State != want {
+				t.Errorf("state %v, want %v, %v", g.GetState(), want, err)
+			}
+		}
+		time.Sleep(50 * time.Minute)
+		state(wire.Got_HERE)
+		if err := v.Close(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(12 * time.Hour)
+		v = open(t, fs, "s1")
+		time.Sleep(9 * time.Minute)
+		state(wire.Got_HERE)
+		if e, _, err := v.Sweep(); e != 0 || err != nil {
+			t.Errorf("swept %d within the keeping time, %v", e, err)
+		}
+		time.Sleep(2 * time.Minute)
+		state(wire.Got_PAST)
+		if e, f, err := v.Sweep(); e != 1 || f != 0 || err != nil {
+			t.Errorf("swept %d, forgot %d, %v", e, f, err)
+		}
+		state(wire.Got_PAST)
+		time.Sleep(2 * time.Hour)
+		if _, f, err := v.Sweep(); f != 1 || err != nil {
+			t.Errorf("forgot %d, %v", f, err)
+		}
+		state(wire.Got_NONE)
+		if err := v.Close(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
