--- /dev/null
+++ b/pass/cool/cool_test.go
@@ -0,0 +1,109 @@
+package cool
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"damsontiller/proto/reg"
+	"damsontiller/proto/spec"
+)
+
+// TestRaised: the source's six strings, in message or type name, in any case.
+func TestRaised(t *testing.T) {
+	for _, tc := range []struct {
+		typ, msg string
+		want     bool
+	}{
+		{"", "HTTP 429 from upstream", true}, {"", "Rate Limit reached", true}, {"RateLimitError", "no", true}, {"", "Too many requests", true},
+		{"ThrottleException", "", true}, {"", "QUOTA EXCEEDED", true}, {"Timeout", "connection reset", false}, {"", "", false}, {"", "quota left", false},
+	} {
+		if got := Raised(tc.typ, tc.msg); got != tc.want {
+			t.Errorf("%q %q: %v", tc.typ, tc.msg, got)
+		}
+	}
+}
+
+// TestRetryAfter: both forms; a date counts against the server's own clock.
+func TestRetryAfter(t *testing.T) {
+	wrong := time.Now().Add(7 * time.Hour).UTC()
+	for _, tc := range []struct {
+		ra, date string
+		want     time.Duration
+	}{
+		{"5", "", 5 * time.Second}, {" 1.5 ", "", 1500 * time.Millisecond}, {"-3", "", 0}, {"", "", 0}, {"soon", "", 0}, {"NaN", "", 0}, {"1e9", "", 24 * time.Hour},
+		{wrong.Add(9 * time.Second).Format(http.TimeFormat), wrong.Format(http.TimeFormat), 9 * time.Second},
+		{wrong.Add(-9 * time.Second).Format(http.TimeFormat), wrong.Format(http.TimeFormat), 0},
+	} {
+		h := http.Header{}
+		h.Set("Retry-After", tc.ra)
+		h.Set("Date", tc.date)
+		if got := RetryAfter(h); got != tc.want {
+			t.Errorf("%q by %q: %s, want %s", tc.ra, tc.date, got, tc.want)
+		}
+	}
+}
+
+// TestNext follows any history of refusals: no wait is ever shortened, none is
+// below its floor, none above cap and floor, simultaneous refusals are one
+// step, and a quiet spell starts again.
+func TestNext(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := &spec.Cooldown{FirstMs: 1000, CapMs: 60000, QuietMs: 30000}
+		var st reg.State
+		now, end, step := time.Duration(0), time.Duration(0), 0
+		for range rapid.IntRange(1, 30).Draw(rt, "refusals") {
+			gap := time.Duration(rapid.IntRange(0, 100000).Draw(rt, "gap ms")) * time.Millisecond
+			floor := time.Duration(rapid.SampledFrom([]int{0, 0, 500, 5000, 90000}).Draw(rt, "floor ms")) * time.Millisecond
+			now += gap
+			st.Age += gap
+			inForce := now < end
+			v, changed, err := next(c, st, floor)
+			if err != nil {
+				rt.Fatal(err)
+			}
+			was := end
+			if changed {
+				b, _ := json.Marshal(v)
+				st = reg.State{Ver: st.Ver + 1, Val: b}
+				end = now + time.Duration(v.WaitMs)*time.Millisecond
+			}
+			switch {
+			case end < was:
+				rt.Fatalf("shortened from %s to %s", was, end)
+			case end < now+floor:
+				rt.Fatalf("floor %s, wait %s", floor, end-now)
+			case inForce && v.Step != step:
+				rt.Fatalf("a refusal within a cooldown went from step %d to %d", step, v.Step)
+			case inForce && floor <= was-now && changed:
+				rt.Fatal("changed for nothing")
+			case !inForce && step > 0 && now-was > c.Quiet() && v.Step != 1:
+				rt.Fatalf("after a quiet spell step %d", v.Step)
+			case !inForce && step > 0 && now-was <= c.Quiet() && v.Step != min(step+1, 30):
+				rt.Fatalf("step %d after %d", v.Step, step)
+			case !inForce && end-now > max(c.Cap(), floor):
+				rt.Fatalf("wait %s above the cap", end-now)
+			}
+			step = v.Step
+		}
+	})
+}
+
+// TestKey: the name of the protected call; all that share an account share its.
+func TestKey(t *testing.T) {
+	s := &spec.Spec{Routes: []spec.Route{{Name: "model", Model: true}, {Name: "sms", Account: "acme"}, {Name: "pics"}}}
+	for _, tc := range []struct {
+		r    spec.Runner
+		want string
+	}{
+		{spec.Runner{Name: "m1", Route: "model"}, "server/m1"}, {spec.Runner{Name: "m2", Route: "model", Account: "lab"}, "account/lab"},
+		{spec.Runner{Name: "s1", Route: "sms"}, "account/acme"}, {spec.Runner{Name: "p1", Route: "pics"}, "route/pics"}, {spec.Runner{Name: "p2", Route: "pics"}, "route/pics"},
+	} {
+		if got := Key(s, tc.r); got != tc.want {
+			t.Errorf("%s: %s, want %s", tc.r.Name, got, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/pass/door/door_test.go
@@ -0,0 +1,132 @@
+package door_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"damsontiller/coord/realm"
+	"damsontiller/coord/web"
+	"damsontiller/pass/door"
+	"damsontiller/pass/job"
+	"damsontiller/proto/spec"
+	"damsontiller/xport/code"
+)
+
+type ask struct {
+	path, body string
+	head       map[string]string
+}
+
+func good() ask {
+	return ask{"/v1/turns", `{"conversation":"reel","class":"live","words":"w","parts":["a","b"],"max_output":5}`,
+		map[string]string{door.HProgram: "reel/1", door.HLeft: "60", door.HWait: "5", door.HKey: "k"}}
+}
+
+func serve(t *testing.T, q ask, do job.Next) (*httptest.ResponseRecorder, web.Problem) {
+	t.Helper()
+	view := &realm.View{Ver: 1}
+	view.Spec = spec.Spec{Routes: []spec.Route{{Name: "model", Model: true}, {Name: "assets"}}, Classes: []spec.Class{{Name: "live", Urgent: true}, {Name: "reel"}}}
+	d := &door.Door{P: door.DefaultParams, ID: "e1", Log: hclog.NewNullLogger(), View: func() *realm.View { return view }, Ready: func() error { return nil }, Turn: do, Call: do}
+	e := web.New(hclog.NewNullLogger())
+	d.Routes(e)
+	r := httptest.NewRequest(http.MethodPost, q.path, strings.NewReader(q.body))
+	for k, v := range q.head {
+		r.Header.Set(k, v)
+	}
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, r)
+	var p web.Problem
+	if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil {
+		t.Fatalf("answer is not JSON: %s", w.Body)
+	}
+	return w, p
+}
+
+// TestBadInput: each gets its own number and a plain message, and no job is
+// made of it.
+func TestBadInput(t *testing.T) {
+	for _, tc := range []struct {
+		what string
+		want code.Code
+		do   func(*ask)
+	}{
+		{"garbled JSON", code.BadJSON, func(q *ask) { q.body = "{" }},
+		{"no body", code.BadJSON, func(q *ask) { q.body = "" }},
+		{"something after the body", code.BadJSON, func(q *ask) { q.body += "{}" }},
+		{"wrong type", code.BadJSON, func(q *ask) { q.body = `{"words":1}` }},
+		{"oversized", code.TooLarge, func(q *ask) { q.body = `{"words":"` + strings.Repeat("x", 1<<20) + `"}` }},
+		{"unknown field", code.UnknownField, func(q *ask) { q.body = `{"words":"w","wurds":""}` }},
+		{"no program", code.NoHeader, func(q *ask) { delete(q.head, door.HProgram) }},
+		{"bad program", code.BadHeader, func(q *ask) { q.head[door.HProgram] = "a b" }},
+		{"bad program class", code.BadHeader, func(q *ask) { q.head[door.HProgram] = "/x" }},
+		{"no time", code.NoHeader, func(q *ask) { delete(q.head, door.HLeft) }},
+		{"negative time", code.BadTime, func(q *ask) { q.head[door.HLeft] = "-1" }},
+		{"huge time", code.BadTime, func(q *ask) { q.head[door.HLeft] = "1e300" }},
+		{"time that is no number", code.BadTime, func(q *ask) { q.head[door.HLeft] = "soon" }},
+		{"time NaN", code.BadTime, func(q *ask) { q.head[door.HLeft] = "NaN" }},
+		{"negative wait", code.BadTime, func(q *ask) { q.head[door.HWait] = "-0.1" }},
+		{"no time left", code.CutoffPassed, func(q *ask) { q.head[door.HLeft] = "0" }},
+		{"empty key", code.BadHeader, func(q *ask) { q.head[door.HKey] = "" }},
+		{"key with spaces", code.BadHeader, func(q *ask) { q.head[door.HKey] = "a b" }},
+		{"long key", code.BadHeader, func(q *ask) { q.head[door.HKey] = strings.Repeat("k", 129) }},
+		{"unknown route", code.NoRoute, func(q *ask) { q.path = "/v1/calls/nope"; q.body = "{}" }},
+		{"the model as a tool", code.NoRoute, func(q *ask) { q.path = "/v1/calls/model"; q.body = "{}" }},
+		{"a tool as a model", code.NoRoute, func(q *ask) { q.body = strings.Replace(q.body, "{", `{"model":"assets",`, 1) }},
+		{"unknown class", code.BadField, func(q *ask) { q.body = strings.Replace(q.body, "live", "dead", 1) }},
+		{"bad part", code.BadField, func(q *ask) { q.body = strings.Replace(q.body, `"a"`, `"a+b"`, 1) }},
+		{"no words", code.BadField, func(q *ask) { q.body = strings.Replace(q.body, `"w"`, `""`, 1) }},
+		{"no output", code.BadField, func(q *ask) { q.body = strings.Replace(q.body, `:5`, `:0`, 1) }},
+		{"no conversation", code.BadField, func(q *ask) { q.body = strings.Replace(q.body, `"reel"`, `""`, 1) }},
+		{"unknown path", code.NoPath, func(q *ask) { q.path = "/v2/turns" }},
+	} {
+		q := good()
+		tc.do(&q)
+		made := false
+		w, p := serve(t, q, func(*job.Ctx) job.Answer { made = true; return job.Good([]byte("{}")) })
+		if code.Code(p.Code) != tc.want || w.Code != tc.want.Status() || p.Problem == "" || p.Name != tc.want.Name() {
+			t.Errorf("%s: status %d, %+v, want %d", tc.what, w.Code, p, tc.want)
+		}
+		if made {
+			t.Errorf("%s: a job was made of it", tc.what)
+		}
+	}
+}
+
+// TestJob: what a good request says reaches the job.
+func TestJob(t *testing.T) {
+	var got *job.Ctx
+	w, _ := serve(t, good(), func(c *job.Ctx) job.Answer { got = c; return job.Good([]byte(`{"job":"x"}`)) })
+	if w.Code != http.StatusOK || got == nil {
+		t.Fatalf("status %d", w.Code)
+	}
+	if !got.Urgent || got.Rank != 0 || got.Program != "reel/1" || got.Key != "k" || got.Route != "model" || got.Most != 5 || len(got.Parts) != 2 || got.Hash == "" {
+		t.Errorf("%+v", got)
+	}
+	// The earlier of the caller's wait and the program's end counts.
+	if l := got.Left(); l > 5*time.Second || l < 3*time.Second {
+		t.Errorf("left %s", l)
+	}
+}
+
+// TestWhenToComeBack: whole seconds rounded up for those who read only the
+// header, and the finer truth in the body.
+func TestWhenToComeBack(t *testing.T) {
+	w, p := serve(t, good(), func(*job.Ctx) job.Answer {
+		a := job.Bad(code.Cooling, "x")
+		a.Wait = 2300 * time.Millisecond
+		return a
+	})
+	if w.Code != http.StatusTooManyRequests || w.Header().Get("Retry-After") != "3" || p.WaitMs != 2300 || p.Ran != "no" {
+		t.Errorf("%d %v %+v", w.Code, w.Header(), p)
+	}
+	at, err := time.Parse(time.RFC3339Nano, p.NotBefore)
+	if d := time.Until(at); err != nil || d < time.Second || d > 2400*time.Millisecond {
+		t.Errorf("not_before %q: %s, %v", p.NotBefore, d, err)
+	}
+}
--- /dev/null
+++ b/pass/herd/main_test.go
@@ -0,0 +1,17 @@
+package herd
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// The same plans in every run: a verdict must not hang on chance.
+func TestMain(m *testing.M) {
+	for k, v := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(k, v); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/xport/xport_test.go
@@ -0,0 +1,164 @@
+package xport_test
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damsontiller/xport"
+	"damsontiller/xport/code"
+	"damsontiller/xport/memnet"
+)
+
+// echo serves at addr and counts connections let go for speaking badly.
+func echo(t *testing.T, n xport.Net, addr string, bad *atomic.Int64, last *atomic.Value) *xport.Server {
+	t.Helper()
+	ln, err := n.Listen(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return xport.Serve(t.Context(), ln, xport.DefaultParams, func(_ context.Context, b []byte) []byte { return b }, func(err error) {
+		bad.Add(1)
+		last.Store(code.Of(err))
+	})
+}
+
+// TestBadFrames: what is too long, garbled or of another version is refused by
+// number, and the server goes on for others.
+func TestBadFrames(t *testing.T) {
+	head := func(magic, ver, kind, zero byte, n uint32) []byte {
+		b := make([]byte, 16)
+		b[0], b[1], b[2], b[3] = magic, ver, kind, zero
+		binary.BigEndian.PutUint32(b[4:], n)
+		return b
+	}
+	for _, tc := range []struct {
+		what string
+		b    []byte
+		want code.Code
+	}{
+		{"too long", head(0xD7, xport.Version, 1, 0, 1<<31), code.FrameTooLong},
+		{"garbled", []byte("GET / HTTP/1.1\r\n\r\n"), code.Garbled},
+		{"another version", head(0xD7, xport.Version+1, 1, 0, 0), code.WireVersion},
+		{"an answer to nothing", head(0xD7, xport.Version, 2, 0, 0), code.Garbled},
+		{"an unknown kind", head(0xD7, xport.Version, 9, 0, 0), code.Garbled},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			n := memnet.New(1)
+			var bad atomic.Int64
+			var last atomic.Value
+			s := echo(t, n.Host("s"), "s", &bad, &last)
+			defer s.Close()
+			c, err := n.Host("c").Dial(t.Context(), "s")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _, _ = c.Write(tc.b) }()
+			if _, err := io.ReadAll(c); err != nil && !errors.Is(err, io.ErrClosedPipe) {
+				t.Errorf("%s: %v", tc.what, err)
+			}
+			if bad.Load() != 1 || last.Load() != tc.want {
+				t.Errorf("%s: %d problems, code %v, want %v", tc.what, bad.Load(), last.Load(), tc.want)
+			}
+			h := xport.NewHub(n.Host("d"), xport.DefaultParams, nil)
+			defer h.Close()
+			if b, err := h.Call(t.Context(), "s", []byte("x")); err != nil || string(b) != "x" {
+				t.Errorf("%s: the next call got %q, %v", tc.what, b, err)
+			}
+		})
+	}
+}
+
+// TestOtherVersion: a caller is told that its peer speaks another version.
+func TestOtherVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(1)
+		ln, err := n.Host("s").Listen("s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			b := make([]byte, 16)
+			_, _ = io.ReadFull(c, b)
+			b[1]++ // an answer of a later version
+			b[2] = 2
+			_, _ = c.Write(b)
+		}()
+		h := xport.NewHub(n.Host("c"), xport.DefaultParams, nil)
+		defer h.Close()
+		if _, err := h.Call(t.Context(), "s", nil); code.Of(err) != code.WireVersion {
+			t.Errorf("got %v", err)
+		}
+		ln.Close()
+	})
+}
+
+// TestFaults: a refused port, a cut and a lost connection are told apart.
+func TestFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(1)
+		cuts := &xport.Cuts{}
+		h := xport.NewHub(n.Host("c"), xport.DefaultParams, cuts)
+		defer h.Close()
+		if _, err := h.Call(t.Context(), "s", nil); !errors.Is(err, xport.ErrRefused) {
+			t.Errorf("nobody there: %v", err)
+		}
+		var bad atomic.Int64
+		var last atomic.Value
+		s := echo(t, n.Host("s"), "s", &bad, &last)
+		if b, err := h.Call(t.Context(), "s", []byte("a")); err != nil || string(b) != "a" {
+			t.Errorf("%q %v", b, err)
+		}
+		ctx, stop := context.WithTimeout(t.Context(), time.Second)
+		defer stop()
+		cuts.Set([]string{"s"})
+		at := time.Now()
+		if _, err := h.Call(ctx, "s", nil); !errors.Is(err, xport.ErrLost) || time.Since(at) != time.Second {
+			t.Errorf("cut: %v after %s", err, time.Since(at))
+		}
+		if cuts.Fired() != 1 {
+			t.Errorf("the cut fired %d times", cuts.Fired())
+		}
+		cuts.Set(nil)
+		s.Close()
+		if _, err := h.Call(t.Context(), "s", nil); err == nil || errors.Is(err, context.Canceled) {
+			t.Errorf("closed: %v", err)
+		}
+	})
+}
+
+// TestRealPort: over real TCP, with a real refused port.
+func TestRealPort(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	s := xport.Serve(t.Context(), ln, xport.DefaultParams, func(_ context.Context, b []byte) []byte { return b }, func(error) {})
+	h := xport.NewHub(xport.TCP(xport.DefaultParams), xport.DefaultParams, nil)
+	defer h.Close()
+	big := make([]byte, 1<<20)
+	if b, err := h.Call(t.Context(), addr, big); err != nil || len(b) != len(big) {
+		t.Errorf("%d bytes, %v", len(b), err)
+	}
+	s.Close()
+	for {
+		// The first call may find the old connection breaking.
+		if _, err := h.Call(t.Context(), addr, nil); errors.Is(err, xport.ErrRefused) {
+			break
+		} else if !errors.Is(err, xport.ErrLost) {
+			t.Fatalf("got %v", err)
+		}
+	}
+}
