--- /dev/null
+++ b/cmd/dtreplay/main.go
@@ -0,0 +1,137 @@
+// Command dtreplay records the traffic of a fleet into a day file, shows one,
+// and replays one against a fleet.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"damsontiller/cmd/start"
+	"damsontiller/pass/day"
+	"damsontiller/proto/spec"
+	"damsontiller/xport/code"
+)
+
+const usage = `dtreplay record [flags]   write what a fleet's edges answer into a day file
+dtreplay play [flags]     replay a day file against a fleet, and report
+dtreplay show [flags]     report on a day file as it was recorded
+
+Each takes -h.`
+
+func main() { os.Exit(start.Exit(run(os.Args[1:]))) }
+
+func run(args []string) error {
+	if len(args) == 0 {
+		return code.New(code.BadFlag, "a subcommand is missing\n%s", usage)
+	}
+	fs := flag.NewFlagSet("dtreplay "+args[0], flag.ContinueOnError)
+	file := fs.String("day", "day.jsonl", "the day file")
+	cores := fs.String("core", "127.0.0.1:7200", "HTTP addresses of core machines, with commas between")
+	most := fs.Duration("for", time.Minute, "record: how long; an interrupt ends it as well")
+	name := fs.String("name", "day", "record: the day's name")
+	speed := fs.Float64("speed", 1, "play: times the recorded speed")
+	if err := fs.Parse(args[1:]); err != nil {
+		if err == flag.ErrHelp {
+			return err
+		}
+		return code.New(code.BadFlag, "%w", err)
+	}
+	if fs.NArg() > 0 {
+		return code.New(code.BadFlag, "%q is no flag", fs.Arg(0))
+	}
+	list := strings.Split(*cores, ",")
+	for _, c := range list {
+		if err := spec.Addr(c); err != nil {
+			return code.New(code.BadFlag, "-core: %w", err)
+		}
+	}
+	ctx, stop := start.Signals()
+	defer stop()
+	switch args[0] {
+	case "record":
+		if *most <= 0 {
+			return code.New(code.BadFlag, "-for: %s is not positive", *most)
+		}
+		return record(ctx, *file, *name, list, *most)
+	case "play":
+		if *speed <= 0 || *speed > 1000 {
+			return code.New(code.BadFlag, "-speed: %v is not within 0 and 1000", *speed)
+		}
+		return play(ctx, *file, list, *speed)
+	case "show":
+		return show(*file)
+	case "-h", "help":
+		fmt.Println(usage)
+		return nil
+	}
+	return code.New(code.BadFlag, "%q is no subcommand\n%s", args[0], usage)
+}
+
+func record(ctx context.Context, file, name string, cores []string, most time.Duration) error {
+	ctx, stop := context.WithTimeout(ctx, most)
+	defer stop()
+	web := &http.Client{}
+	if _, err := day.Edges(ctx, web, cores); err != nil {
+		return err
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return code.New(code.BadDay, "%w", err)
+	}
+	rows, lost, err := day.Record(ctx, web, cores, day.Head{Name: name}, f)
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return code.New(code.BadDay, "%w", err)
+	}
+	fmt.Printf("%s: %d rows, %d lost\n", file, rows, lost)
+	return nil
+}
+
+func read(file string) (*day.Day, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, code.New(code.BadDay, "%w", err)
+	}
+	defer f.Close()
+	d, err := day.Read(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return d, nil
+}
+
+func play(ctx context.Context, file string, cores []string, speed float64) error {
+	d, err := read(file)
+	if err != nil {
+		return err
+	}
+	web := &http.Client{}
+	edges, err := day.Edges(ctx, web, cores)
+	if err != nil {
+		return err
+	}
+	p := &day.Player{Day: d, Speed: speed, Run: strconv.FormatInt(time.Now().UnixNano(), 36), Client: day.NewClient(nil),
+		Edges: func(zone string) []string { return day.Near(edges, zone) }}
+	fmt.Printf("%s: %d rows, digest %.12s, at speed %v\n", d.Name, len(d.Rows), d.Sum, speed)
+	p.Play(ctx)
+	day.Sum(p.Client.Ledger()).Print(os.Stdout)
+	return nil
+}
+
+func show(file string) error {
+	d, err := read(file)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: recorded %s, %d rows, %d lost, digest %.12s\n", d.Name, d.Start, len(d.Rows), d.Lost, d.Sum)
+	day.Sum(d.Asks()).Print(os.Stdout)
+	return nil
+}
--- a/kit/dtrig/main.go
+++ b/kit/dtrig/main.go
@@ -3,7 +3,9 @@
 package main
 
 import (
+	"compress/gzip"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -18,6 +20,7 @@
 
 	"damsontiller/kit/fleet"
 	"damsontiller/kit/rig"
+	"damsontiller/pass/day"
 )
 
 const usage = `dtrig up [flags]        start a fleet and keep it running until interrupted
@@ -49,6 +52,8 @@
 	scale := fs.Float64("scale", 1, "traffic, in times of the usual rate")
 	name := fs.String("scenario", "healthy", "what is done meanwhile")
 	net := fs.Int("net", 0, "second number of the loopback network; 0 finds a free one")
+	dayFile := fs.String("day", "", "run: replay this day file in place of the seeded callers")
+	record := fs.String("record", "", "run: write the run's traffic to this day file, gzipped")
 	level := fs.String("log", "info", "log level of the processes")
 	if err := fs.Parse(args[1:]); err != nil {
 		return err
@@ -60,13 +65,28 @@
 		return rig.Params{Fleet: fleet.Params{Deploy: filepath.Join(*deploys, deploy), Bin: *bin, Dir: d, Seed: seed, Net: *net, Log: *level},
 			Seconds: *seconds, Scale: *scale, Out: os.Stdout}
 	}
+	var theDay *day.Day
+	if *dayFile != "" {
+		f, err := os.Open(*dayFile)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if theDay, err = day.Read(f); err != nil {
+			return err
+		}
+	}
+	rec := &recorder{file: *record}
 	one := func(deploy, what string, seed uint64, out io.Writer) (*rig.Result, error) {
 		s, err := rig.Find(what)
 		if err != nil {
 			return nil, err
 		}
 		p := params(deploy, what, seed)
-		p.Out = out
+		p.Out, p.Day = out, theDay
+		if *record != "" {
+			p.Record = rec
+		}
 		if err := os.RemoveAll(p.Fleet.Dir); err != nil {
 			return nil, err
 		}
@@ -88,6 +108,9 @@
 		if err != nil {
 			return err
 		}
+		if err := rec.Close(); err != nil {
+			return err
+		}
 		report(res)
 		if n := res.Verdict.Total(); n > 0 {
 			return fmt.Errorf("%d breaches", n)
@@ -99,6 +122,32 @@
 	return fmt.Errorf("%q is no subcommand\n%s", args[0], usage)
 }
 
+// recorder is a gzipped file that is made when first written to.
+type recorder struct {
+	file string
+	f    *os.File
+	z    *gzip.Writer
+}
+
+func (r *recorder) Write(b []byte) (int, error) {
+	if r.f == nil {
+		f, err := os.Create(r.file)
+		if err != nil {
+			return 0, err
+		}
+		r.f, r.z = f, gzip.NewWriter(f)
+	}
+	return r.z.Write(b)
+}
+
+// Close ends the file.
+func (r *recorder) Close() error {
+	if r.f == nil {
+		return nil
+	}
+	return errors.Join(r.z.Close(), r.f.Close())
+}
+
 func up(ctx context.Context, p rig.Params) error {
 	f, err := fleet.New(p.Fleet)
 	if err != nil {
--- a/kit/origin/origin.go
+++ b/kit/origin/origin.go
@@ -3,43 +3,22 @@
 package origin
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"damsontiller/kit/runner"
-	"damsontiller/pass/door"
+	"damsontiller/pass/day"
 	"damsontiller/xport/loop"
 )
 
-// Ask is one request and its answer.
-type Ask struct {
-	Program, Work, Key, Route, Class, Zone, Edge string
-	Urgent                                       bool
-	Turn, Follows                                bool
-	Sent, Done                                   time.Time
-	Wait                                         time.Duration // the caller's, or what the program had left
-	Status, Code                                 int
-	Name, Ran, Job, Problem                      string
-	RetryAfter                                   time.Duration
-	Lost                                         bool // no answer came
-	Refused                                      bool // nobody listened: the request was never taken
-	Wrong                                        string
-	Forgot                                       bool
-	Held                                         bool
-	Runner                                       string
-	Output                                       int64
-}
+// Ask is a line of the callers' ledger.
+type Ask = day.Ask
 
 // Kind shapes the sessions of one kind.
 type Kind struct {
@@ -80,26 +59,13 @@
 	// just ask for a modest share.
 	Most int64
 
-	mu     sync.Mutex
-	ledger []Ask
-	web    *http.Client
-	run    string
+	*day.Client
+	run string
 }
 
 // New makes a crowd.
 func New(kinds []Kind, seed uint64, edges func(string) []string, web http.RoundTripper) *Crowd {
-	if web == nil {
-		web = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 20 * time.Second}
-	}
-	return &Crowd{Kinds: kinds, Seed: seed, Edges: edges, Most: 100, run: strconv.FormatInt(time.Now().UnixNano(), 36),
-		web: &http.Client{Transport: web}}
-}
-
-// Ledger is a copy of all that was asked.
-func (c *Crowd) Ledger() []Ask {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return append([]Ask(nil), c.ledger...)
+	return &Crowd{Kinds: kinds, Seed: seed, Edges: edges, Most: 100, run: strconv.FormatInt(time.Now().UnixNano(), 36), Client: day.NewClient(web)}
 }
 
 // Run starts sessions for d, at scale times the usual rate, and returns once
@@ -124,14 +90,15 @@
 	wg.Wait()
 }
 
-type said struct{ words, answer string }
+// Said is one turn as its caller knows it.
+type Said struct{ Words, Answer string }
 
 func (c *Crowd) session(ctx context.Context, k Kind, n int, rnd *rand.Rand) {
 	zone := string(rune('a' + rnd.IntN(3)))
 	program := fmt.Sprintf("%s/%s-%d", k.Name, c.run, n)
 	end := time.Now().Add(60 * time.Second)
 	follows := ""
-	var past []said
+	var past []Said
 	for t := range k.Turns {
 		work := fmt.Sprintf("%s-%d-t%d", c.run, n, t)
 		if k.Name != "" {
@@ -147,12 +114,12 @@
 			key = "turn-" + work
 		}
 		a := Ask{Program: program, Work: work, Key: key, Route: "model", Class: k.Class, Zone: zone, Turn: true, Follows: follows != "", Wait: k.Wait}
-		ans, ok := c.ask(ctx, a, "/v1/turns", body, end, past, rnd)
+		ans, ok := c.Ask(ctx, a, "/v1/turns", body, end, c.Edges(zone), rnd.IntN(2), checking(past))
 		if !ok {
 			return
 		}
 		follows = ans.Turn
-		past = append(past, said{words, ans.Text})
+		past = append(past, Said{words, ans.Text})
 		for i := range k.Calls {
 			class, urgent := k.Class, false
 			if rnd.Float64() < k.Share {
@@ -160,7 +127,7 @@
 			}
 			w := fmt.Sprintf("%s-c%d", work, i)
 			a := Ask{Program: program, Work: w, Key: "call-" + w, Route: k.Tool, Class: class, Urgent: urgent, Zone: zone, Wait: k.Wait}
-			c.ask(ctx, a, "/v1/calls/"+k.Tool, map[string]any{"class": class, "args": map[string]string{"do": "work:" + w + ";"}}, end, nil, rnd)
+			c.Ask(ctx, a, "/v1/calls/"+k.Tool, map[string]any{"class": class, "args": map[string]string{"do": "work:" + w + ";"}}, end, c.Edges(zone), rnd.IntN(2), checking(nil))
 		}
 		if !loop.Wait(ctx, time.Duration(200+rnd.IntN(600))*time.Millisecond) {
 			return
@@ -168,113 +135,14 @@
 	}
 }
 
-type answer struct {
-	Job    string `json:"job"`
-	Turn   string `json:"turn"`
-	Text   string `json:"text"`
-	Output int64  `json:"output"`
-	Held   bool   `json:"held"`
-	Runner string `json:"runner"`
-
-	Code       int    `json:"code"`
-	Name       string `json:"name"`
-	Ran        string `json:"ran"`
-	Problem    string `json:"problem"`
-	NotBefore  string `json:"not_before"`
-	WaitMillis int64  `json:"wait_ms"`
-}
-
-// ask asks, and asks again as such callers do: another edge where nobody
-// answers, and later where it is told to come back within a third of the time.
-func (c *Crowd) ask(ctx context.Context, a Ask, path string, body map[string]any, end time.Time, past []said, rnd *rand.Rand) (answer, bool) {
-	b, err := json.Marshal(body)
-	if err != nil {
-		return answer{}, false
-	}
-	edges := c.Edges(a.Zone)
-	first := rnd.IntN(2)
-	stop := time.Now().Add(a.Wait)
-	for try := range 5 {
-		left := time.Until(stop)
-		if len(edges) == 0 || left < 100*time.Millisecond || ctx.Err() != nil {
-			return answer{}, false
-		}
-		// The two of its own zone first, then the others.
-		i := try
-		if try < 2 && len(edges) > 1 {
-			i = (first + try) % 2
-		}
-		one := a
-		one.Edge, one.Wait = edges[i%len(edges)], left
-		ans := c.once(ctx, &one, path, b, end, past)
-		c.mu.Lock()
-		c.ledger = append(c.ledger, one)
-		c.mu.Unlock()
-		switch {
-		case one.Status == http.StatusOK:
-			return ans, one.Wrong == ""
-		case one.Lost || one.Refused || one.Status == http.StatusServiceUnavailable || one.Status == http.StatusBadGateway:
-			pause := 50 * time.Millisecond
-			if one.RetryAfter > 0 && one.RetryAfter <= left/3 && try >= 2 {
-				pause = one.RetryAfter
-			}
-			loop.Wait(ctx, pause)
-		case one.Status == http.StatusTooManyRequests && one.RetryAfter > 0 && one.RetryAfter <= left/3:
-			loop.Wait(ctx, one.RetryAfter)
-		default:
-			return ans, false
-		}
-	}
-	return answer{}, false
-}
-
-func (c *Crowd) once(ctx context.Context, a *Ask, path string, b []byte, end time.Time, past []said) answer {
-	var ans answer
-	// A caller waits a little longer than it says, to hear the last word.
-	rctx, cancel := context.WithTimeout(ctx, a.Wait+500*time.Millisecond)
-	defer cancel()
-	q, err := http.NewRequestWithContext(rctx, http.MethodPost, "http://"+a.Edge+path, io.NopCloser(bytes.NewReader(b)))
-	if err != nil {
-		a.Wrong = err.Error()
-		return ans
-	}
-	q.ContentLength = int64(len(b))
-	q.Header.Set("Content-Type", "application/json")
-	q.Header.Set(door.HProgram, a.Program)
-	q.Header.Set(door.HLeft, fmt.Sprintf("%.3f", time.Until(end).Seconds()))
-	q.Header.Set(door.HWait, fmt.Sprintf("%.3f", a.Wait.Seconds()))
-	if a.Key != "" {
-		q.Header.Set(door.HKey, a.Key)
-	}
-	a.Sent = time.Now()
-	r, err := c.web.Do(q)
-	if err == nil {
-		defer r.Body.Close()
-		var got []byte
-		if got, err = io.ReadAll(r.Body); err == nil {
-			err = json.Unmarshal(got, &ans)
-		}
-	}
-	a.Done = time.Now()
-	if err != nil {
-		a.Refused = errors.Is(err, syscall.ECONNREFUSED)
-		a.Lost = !a.Refused
-		return ans
-	}
-	a.Status, a.Code, a.Name, a.Ran, a.Job, a.Problem = r.StatusCode, ans.Code, ans.Name, ans.Ran, ans.Job, ans.Problem
-	a.Held, a.Runner, a.Output = ans.Held, ans.Runner, ans.Output
-	if n, err := strconv.Atoi(r.Header.Get("Retry-After")); err == nil {
-		a.RetryAfter = time.Duration(n) * time.Second
-	}
-	if a.Status == http.StatusOK {
-		a.check(ans, past)
-	}
-	return ans
+// checking holds past for the look at an answer.
+func checking(past []Said) day.Check {
+	return func(a *Ask, ans day.Answer) { Verify(a, ans, past) }
 }
 
-// check looks whether a success is this job's whole answer, and whether the
+// Verify looks whether a success is this job's whole answer, and whether the
 // runner was given the whole history.
-func (a *Ask) check(ans answer, past []said) {
+func Verify(a *Ask, ans day.Answer, past []Said) {
 	head, rest, _ := strings.Cut(ans.Text, ";")
 	hist, tail, _ := strings.Cut(rest, ";")
 	if head != "work:"+a.Work || tail != "end" {
@@ -284,7 +152,7 @@
 	if a.Turn {
 		var lines []map[string]string
 		for _, p := range past {
-			lines = append(lines, map[string]string{"words": p.words, "answer": p.answer})
+			lines = append(lines, map[string]string{"words": p.Words, "answer": p.Answer})
 		}
 		var h any
 		if len(lines) > 0 {
--- a/kit/rig/rig.go
+++ b/kit/rig/rig.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -15,6 +17,7 @@
 	"damsontiller/kit/judge"
 	"damsontiller/kit/origin"
 	"damsontiller/kit/runner"
+	"damsontiller/pass/day"
 	"damsontiller/xport/loop"
 )
 
@@ -23,6 +26,8 @@
 	Fleet   fleet.Params
 	Seconds int
 	Scale   float64 // of the deployment's usual rate
+	Day     *day.Day
+	Record  io.Writer // where a day file of the run goes, if anywhere
 	Out     io.Writer
 }
 
@@ -31,6 +36,7 @@
 	P     Params
 	F     *fleet.Fleet
 	Crowd *origin.Crowd
+	asks  func() []origin.Ask
 
 	mu      sync.Mutex
 	events  []judge.Event
@@ -92,6 +98,7 @@
 	defer stop()
 	r := &Rig{P: p, F: f}
 	r.Crowd = origin.New(origin.Kinds(p.Fleet.Deploy), p.Fleet.Seed, r.edges, nil)
+	r.asks = r.Crowd.Ledger
 	r.say("%s: %s (seed %d, net 127.%d)", s.Name, s.What, p.Fleet.Seed, f.P.Net)
 	if err := f.Start(ctx); err != nil {
 		return nil, err
@@ -101,14 +108,21 @@
 	traffic := make(chan struct{})
 	wg.Go(func() {
 		defer close(traffic)
-		r.Crowd.Run(ctx, time.Duration(max(p.Seconds, s.Seconds))*time.Second, p.Scale)
+		r.traffic(ctx, time.Duration(max(p.Seconds, s.Seconds))*time.Second)
 	})
+	rctx, rstop := context.WithCancel(ctx)
+	recorded := make(chan error, 1)
+	go func() { recorded <- r.record(rctx) }()
 	// A little quiet traffic first, so that a failure has something to break.
 	loop.Wait(ctx, 2*time.Second)
 	if err := s.Do(ctx, r); err != nil {
 		return nil, fmt.Errorf("%s: %w", s.Name, err)
 	}
 	<-traffic
+	rstop()
+	if err := <-recorded; err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
 	if err := r.read(); err != nil {
 		return nil, fmt.Errorf("spec at the end: %w", err)
 	}
@@ -118,6 +132,43 @@
 	return res, nil
 }
 
+// traffic is the crowd's, or a recorded day's.
+func (r *Rig) traffic(ctx context.Context, d time.Duration) {
+	if r.P.Day == nil {
+		r.Crowd.Run(ctx, d, r.P.Scale)
+		return
+	}
+	p := &day.Player{Day: r.P.Day, Speed: r.P.Scale, Run: strconv.FormatInt(time.Now().UnixNano(), 36), Client: day.NewClient(nil), Edges: r.edges,
+		Words: func(w day.Row, work string) string {
+			return "work:" + work + ";" + strings.Repeat("w", max(w.Words-len(work)-6, 0))
+		},
+		Look: func(a *day.Ask, ans day.Answer, past []day.Line) {
+			var said []origin.Said
+			for _, l := range past {
+				said = append(said, origin.Said(l))
+			}
+			origin.Verify(a, ans, said)
+		}}
+	r.mu.Lock()
+	r.asks = p.Client.Ledger
+	r.mu.Unlock()
+	p.Play(ctx)
+}
+
+// record writes the run's traffic as a day file.
+func (r *Rig) record(ctx context.Context) error {
+	if r.P.Record == nil {
+		return nil
+	}
+	var cores []string
+	for _, m := range r.F.Of("core") {
+		cores = append(cores, m.HTTP())
+	}
+	rows, lost, err := day.Record(ctx, r.F.Web, cores, day.Head{Name: r.F.Spec.Name}, r.P.Record)
+	r.say("  recorded %d rows, %d lost", rows, lost)
+	return err
+}
+
 // edges is where the platform sends a client: its own zone first.
 func (r *Rig) edges(zone string) []string {
 	var near, far []string
@@ -276,7 +327,7 @@
 }
 
 func (r *Rig) result(name string) *Result {
-	c := judge.Case{Spec: &r.F.Spec, Asks: r.Crowd.Ledger(), Most: r.Crowd.Most}
+	c := judge.Case{Spec: &r.F.Spec, Asks: r.asks(), Most: r.Crowd.Most}
 	for _, n := range r.F.Runners {
 		for _, e := range n.Ledger() {
 			c.Runs = append(c.Runs, judge.Run{Entry: e, Runner: n.P.Runner})
--- a/pass/call/call.go
+++ b/pass/call/call.go
@@ -112,6 +112,7 @@
 	q.ContentLength = int64(len(body))
 	q.Header.Set("Content-Type", "application/json")
 	q.Header.Set("X-Damsontiller-Job", c.ID)
+	c.Passed = time.Now()
 	r, err := p.Web.Do(q)
 	if err != nil {
 		return p.lost(c, err)
@@ -180,7 +181,7 @@
 	if r.Output < 0 {
 		return p.doubt(c, code.NotWhole, "a negative output", nil)
 	}
-	c.Spent = r.Output
+	c.Spent, c.Held = r.Output, r.Held
 	p.Dir.Holds(c.Runner.Ix, r.Prefixes)
 	out := map[string]any{"job": c.ID, "text": r.Text, "output": r.Output, "held": r.Held, "runner": c.Runner.Name}
 	if c.Conv != "" {
--- /dev/null
+++ b/pass/day/day_test.go
@@ -0,0 +1,106 @@
+package day_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damsontiller/coord/realm"
+	"damsontiller/pass/day"
+	"damsontiller/pass/job"
+	"damsontiller/xport/code"
+)
+
+func file(t *testing.T, rows int) []byte {
+	t.Helper()
+	var b bytes.Buffer
+	w, err := day.NewWriter(&b, day.Head{Name: "d"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range rows {
+		if err := w.Add(day.Row{T: int64(i), Job: "j", Route: "r", Program: "p", Code: 203}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Close(1); err != nil {
+		t.Fatal(err)
+	}
+	return b.Bytes()
+}
+
+// TestFile: what is written is read; a file cut anywhere, changed anywhere or
+// of another format is refused, and the line is named.
+func TestFile(t *testing.T) {
+	good := file(t, 3)
+	d, err := day.Read(bytes.NewReader(good))
+	if err != nil || len(d.Rows) != 3 || d.Lost != 1 || d.Name != "d" || d.Sum == "" {
+		t.Fatalf("%+v %v", d, err)
+	}
+	for n := range len(good) - 1 {
+		if _, err := day.Read(bytes.NewReader(good[:n])); code.Of(err) != code.BadDay {
+			t.Fatalf("cut at byte %d: %v", n, err)
+		}
+	}
+	for _, tc := range [][3]string{
+		{`"format":1`, `"format":2`, "line 1"}, {`"code":203`, `"code":204`, "line 5"}, {`"t":1,`, `"t":-1,`, "line 3"}, {`{"t":2`, `{"t:2`, "line 4"}, {`"rows":3`, `"rows":4`, "line 5"},
+	} {
+		bad := strings.Replace(string(good), tc[0], tc[1], 1)
+		if _, err := day.Read(strings.NewReader(bad)); code.Of(err) != code.BadDay || !strings.Contains(err.Error(), tc[2]) {
+			t.Errorf("%s: %v", tc[1], err)
+		}
+	}
+	if _, err := day.Read(strings.NewReader(string(good) + "{}\n")); code.Of(err) != code.BadDay {
+		t.Errorf("something after the end: %v", err)
+	}
+	if r := day.Sum(d.Asks()); r.Asks != 3 || r.Codes["cooling"] != 3 || r.Classes[""].Cooldown != 3 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// TestTape: bounded, says what it has forgotten, and holds no words.
+func TestTape(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tape := day.NewTape(5)
+		add := func() {
+			c := &job.Ctx{ID: "j", Program: "p/1", Route: "model", Conv: "reel", Key: "secret-key", Words: "secret words", Cutoff: time.Now().Add(time.Second), View: &realm.View{}}
+			tape.Add("e1", "a", c, job.Bad(code.Cooling, "secret"), 20*time.Millisecond)
+		}
+		for range 3 {
+			add()
+		}
+		time.Sleep(time.Second)
+		p := tape.After(0)
+		if p.Next != 3 || p.Lost != 0 || len(p.Rows) != 3 || p.Rows[0].AgeMs != 1020 || p.Rows[0].Words != 12 || p.Rows[0].Wait != 1020 {
+			t.Errorf("%+v", p)
+		}
+		for range 7 {
+			add()
+		}
+		if p = tape.After(3); p.Next != 10 || p.Lost != 2 || len(p.Rows) != 5 {
+			t.Errorf("next %d, lost %d, rows %d", p.Next, p.Lost, len(p.Rows))
+		}
+		if p = tape.After(10); len(p.Rows) != 0 {
+			t.Errorf("%d rows where none is new", len(p.Rows))
+		}
+		if p = tape.After(500); len(p.Rows) != 5 {
+			t.Errorf("after a restart %d rows", len(p.Rows))
+		}
+		var b bytes.Buffer
+		w, err := day.NewWriter(&b, day.Head{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := w.Add(tape.After(9).Rows[0]); err != nil {
+			t.Fatal(err)
+		}
+		if err := w.Close(0); err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(b.String(), "secret") {
+			t.Errorf("words of a caller in the day: %s", b.String())
+		}
+	})
+}
--- /dev/null
+++ b/pass/day/play.go
@@ -0,0 +1,193 @@
+package day
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// Player replays a day against a fleet.
+type Player struct {
+	Day   *Day
+	Speed float64
+	// Run keeps keys and programs apart from those of other replays.
+	Run string
+	// Edges gives the edges that the platform would hand to a client of a zone.
+	Edges  func(zone string) []string
+	Client *Client
+	// Words makes the words of a row; nil makes filler of the same length.
+	Words func(r Row, work string) string
+	// Look sees each success, and the words that led to it; it may be nil.
+	Look func(a *Ask, ans Answer, past []Line)
+
+	mu   sync.Mutex
+	done map[string]*turn
+}
+
+// Line is one turn of a replayed conversation.
+type Line struct{ Words, Answer string }
+
+type turn struct {
+	over chan struct{}
+	id   string // of the replayed turn; empty if it was not answered
+	past []Line
+}
+
+// Play sends every row at its time and returns once all are answered.
+func (p *Player) Play(ctx context.Context) {
+	p.done = map[string]*turn{}
+	for _, r := range p.Day.Rows {
+		if r.Turn {
+			p.done[r.Job] = &turn{over: make(chan struct{})}
+		}
+	}
+	start := time.Now()
+	var wg sync.WaitGroup
+	for i, r := range p.Day.Rows {
+		at := start.Add(time.Duration(float64(r.T)/p.Speed) * time.Millisecond)
+		if !loop.Wait(ctx, time.Until(at)) {
+			break
+		}
+		wg.Go(func() { p.one(ctx, i, r) })
+	}
+	wg.Wait()
+}
+
+func (p *Player) one(ctx context.Context, i int, r Row) {
+	work := fmt.Sprintf("%s-%d", p.Run, i)
+	words := strings.Repeat("w", max(r.Words, 1))
+	if p.Words != nil {
+		words = p.Words(r, work)
+	}
+	class, name, _ := strings.Cut(r.Program, "/")
+	wait := time.Duration(max(r.Wait, 200)) * time.Millisecond
+	a := Ask{Program: class + "/" + p.Run + "-" + name, Work: work, Route: r.Route, Class: r.Class, Zone: r.Zone, Turn: r.Turn, Wait: wait}
+	if r.Key != "" {
+		a.Key = p.Run + "-" + r.Key
+	}
+	body := map[string]any{"class": r.Class, "parts": r.Parts}
+	path := "/v1/calls/" + r.Route
+	var past []Line
+	mine := p.done[r.Job]
+	if r.Turn {
+		defer close(mine.over)
+		path = "/v1/turns"
+		body["conversation"], body["words"], body["max_output"], body["model"] = r.Conv, words, max(r.Most, 1), r.Route
+		if r.Follows != "" {
+			// A caller can't go on before it has the answer.
+			t := p.done[r.Follows]
+			if t == nil {
+				p.skip(a, "it follows a turn from before the day")
+				return
+			}
+			select {
+			case <-t.over:
+			case <-ctx.Done():
+				return
+			}
+			if t.id == "" {
+				p.skip(a, "it follows a turn that was not answered")
+				return
+			}
+			a.Follows, past = true, t.past
+			body["follows"] = t.id
+		}
+	} else {
+		body["args"] = map[string]string{"words": words}
+	}
+	ans, ok := p.Client.Ask(ctx, a, path, body, time.Now().Add(10*wait), p.Edges(r.Zone), i%2, func(a *Ask, ans Answer) {
+		if p.Look != nil {
+			p.Look(a, ans, past)
+		}
+	})
+	if r.Turn && ok {
+		mine.id, mine.past = ans.Turn, append(past[:len(past):len(past)], Line{words, ans.Text})
+	}
+}
+
+// skip writes down a row that could not be asked.
+func (p *Player) skip(a Ask, why string) {
+	a.Name, a.Problem = "skipped", why
+	a.Sent = time.Now()
+	a.Done = a.Sent
+	p.Client.mu.Lock()
+	p.Client.ledger = append(p.Client.ledger, a)
+	p.Client.mu.Unlock()
+}
+
+// Class is what a report says of one class.
+type Class struct {
+	Asks, OK       int
+	Median, P99    time.Duration
+	Held, Parted   int // prefixes held, of good turns that named parts
+	Late, Cooldown int
+}
+
+// Report sums a ledger up.
+type Report struct {
+	Asks    int
+	Codes   map[string]int
+	Classes map[string]Class
+}
+
+// Sum makes the report of a replay.
+func Sum(asks []Ask) Report {
+	r := Report{Codes: map[string]int{}, Classes: map[string]Class{}}
+	took := map[string][]time.Duration{}
+	for _, a := range asks {
+		c := r.Classes[a.Class]
+		r.Asks++
+		c.Asks++
+		name := a.Name
+		switch {
+		case a.Status == 200:
+			name = code.OK.Name()
+			c.OK++
+			took[a.Class] = append(took[a.Class], a.Done.Sub(a.Sent))
+			if a.Turn {
+				c.Parted++
+			}
+			if a.Held {
+				c.Held++
+			}
+		case a.Refused:
+			name = "port refused"
+		case a.Lost:
+			name = "no answer"
+		case a.Code == int(code.CutoffPassed):
+			c.Late++
+		case a.Code == int(code.Cooling), a.Code == int(code.RunnerDrop):
+			c.Cooldown++
+		}
+		r.Codes[name]++
+		r.Classes[a.Class] = c
+	}
+	for k, ds := range took {
+		slices.Sort(ds)
+		c := r.Classes[k]
+		c.Median, c.P99 = ds[len(ds)/2], ds[len(ds)*99/100]
+		r.Classes[k] = c
+	}
+	return r
+}
+
+// Print writes the report as two tables.
+func (r Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "%-18s %6s\n", "code", "asks")
+	for _, k := range slices.Sorted(maps.Keys(r.Codes)) {
+		fmt.Fprintf(w, "%-18s %6d\n", k, r.Codes[k])
+	}
+	fmt.Fprintf(w, "\n%-12s %6s %6s %9s %9s %8s %6s %8s\n", "class", "asks", "ok", "median", "p99", "prefix", "late", "cooldown")
+	for _, k := range slices.Sorted(maps.Keys(r.Classes)) {
+		c := r.Classes[k]
+		fmt.Fprintf(w, "%-12s %6d %6d %9s %9s %4d/%-4d %5d %8d\n", k, c.Asks, c.OK, c.Median.Round(time.Millisecond), c.P99.Round(time.Millisecond), c.Held, c.Parted, c.Late, c.Cooldown)
+	}
+}
--- a/pass/door/door.go
+++ b/pass/door/door.go
@@ -258,7 +258,8 @@
 	if len(t.Follows) > 128 {
 		return code.New(code.BadField, "follows: not a turn")
 	}
-	c.Conv, c.Follows, c.Words, c.Most, c.Class = t.Conversation, t.Follows, t.Words, t.MaxOutput, t.Class
+	c.Conv, c.Follows, c.Words, c.Class = t.Conversation, t.Follows, t.Words, t.Class
+	c.Asked, c.Most = t.MaxOutput, t.MaxOutput
 	c.Route = t.Model
 	for _, r := range c.View.Spec.Routes {
 		if r.Model && (t.Model == "" || t.Model == r.Name) {
--- a/pass/edge/edge.go
+++ b/pass/edge/edge.go
@@ -14,11 +14,13 @@
 	"damsontiller/coord/duty"
 	"damsontiller/coord/node"
 	"damsontiller/coord/tier"
+	"damsontiller/coord/web"
 	"damsontiller/pass/backlog"
 	"damsontiller/pass/call"
 	"damsontiller/pass/claim"
 	"damsontiller/pass/conv"
 	"damsontiller/pass/cool"
+	"damsontiller/pass/day"
 	"damsontiller/pass/door"
 	"damsontiller/pass/elect"
 	"damsontiller/pass/herd"
@@ -40,11 +42,12 @@
 	Ask     time.Duration // between two requests for slots
 	Write   time.Duration // cutoff of one write to the tier
 	Late    time.Duration // for writing down what is known past a cutoff
+	Tape    int           // answered jobs remembered for records of the traffic
 }
 
 // DefaultParams are the design's.
 var DefaultParams = Params{Door: door.DefaultParams, Cool: cool.DefaultParams, Herd: herd.DefaultParams, Backlog: backlog.DefaultParams,
-	Ask: 250 * time.Millisecond, Write: time.Second, Late: 2 * time.Second}
+	Ask: 250 * time.Millisecond, Write: time.Second, Late: 2 * time.Second, Tape: 8192}
 
 // Edge is one edge process.
 type Edge struct {
@@ -58,6 +61,7 @@
 	Fence *duty.Fence
 	duty  *duty.Duty
 	kick  loop.Kick
+	tape  *day.Tape
 	bg    job.Bg
 	ready atomic.Bool
 	stops atomic.Bool
@@ -89,6 +93,10 @@
 	calls := append([]job.Policy{keyed}, rest...)
 	e.Door = &door.Door{P: p.Door, ID: np.Self.Id + "-" + strconv.FormatUint(e.Peer.Self.Inc, 36), Log: e.Log.Named("door"), View: e.Realm.Now, Ready: e.mayTake,
 		Turn: job.Chain(caller.Do, turns...), Call: job.Chain(caller.Do, calls...)}
+	e.tape = day.NewTape(p.Tape)
+	e.Door.Seen = func(c *job.Ctx, a job.Answer, took time.Duration) {
+		e.tape.Add(e.Peer.Self.Id, e.Peer.Self.Zone, c, a, took)
+	}
 	return e
 }
 
@@ -108,6 +116,13 @@
 // Routes puts the callers' interface on x.
 func (e *Edge) Routes(x *echo.Echo) {
 	e.Door.Routes(x)
+	x.GET("/v1/traffic", func(c echo.Context) error {
+		after, err := strconv.Atoi(c.QueryParam("after"))
+		if err != nil || after < 0 {
+			return web.Fail(c, code.New(code.BadField, "after: %q is not a row's number", c.QueryParam("after")))
+		}
+		return c.JSON(http.StatusOK, e.tape.After(after))
+	})
 	x.GET("/v1/status", func(c echo.Context) error { return c.JSON(http.StatusOK, e.status()) })
 }
 
--- a/pass/job/job.go
+++ b/pass/job/job.go
@@ -27,7 +27,8 @@
 	Key     string // Idempotency-Key; empty: the job may be repeated
 	Hash    string // of the body, to know a key used for another job
 	Parts   []string
-	Most    int64 // largest output asked for
+	Asked   int64 // largest output asked for
+	Most    int64 // largest output allowed
 	Words   string
 	Follows string
 	Conv    string // conversation class
@@ -39,8 +40,11 @@
 	Log    hclog.Logger
 	// Runner is set once elected.
 	Runner Runner
-	// Spent is the output the runner reports.
+	// Passed is when it was last passed to a runner.
+	Passed time.Time
+	// Spent is the output the runner reports, Held whether it held the prefix.
 	Spent int64
+	Held  bool
 }
 
 // Line is one turn of a history.
--- a/xport/code/code.go
+++ b/xport/code/code.go
@@ -53,6 +53,7 @@
 	NoVersion    Code = 407
 	NoPath       Code = 408
 	NoMember     Code = 409
+	BadDay       Code = 410
 
 	FrameTooLong  Code = 501
 	Garbled       Code = 502
@@ -119,6 +120,7 @@
 	{NoVersion, "no_version", 404, ""},
 	{NoPath, "no_path", 404, ""},
 	{NoMember, "no_member", 404, ""},
+	{BadDay, "bad_day", 0, ""},
 	{FrameTooLong, "frame_too_long", 0, ""},
 	{Garbled, "garbled", 0, ""},
 	{WireVersion, "wire_version", 0, ""},
