--- a/cmd/dtcore/main.go
+++ b/cmd/dtcore/main.go
@@ -21,6 +21,11 @@
 dtcore spec get|put|patch [flags]    read or change the spec
 dtcore spec version N [flags]        is version N in force everywhere?
 dtcore zone empty|refill ZONE        take a zone out of service, or back
+dtcore store admit ID [-for OLD]     take a store into the set, in another's place or beside
+dtcore store retire ID               let a store go once its copies are elsewhere
+dtcore core admit ID -for OLD        replace a core machine
+dtcore store|core abandon            go back to the set as it was
+dtcore sets [flags]                  the sets, and what they change to
 dtcore members [flags]               list the members
 dtcore health [flags]                what is wrong, if anything
 dtcore check FILE                    check a spec file
@@ -74,11 +79,15 @@
 	cores := fs.String("cores", "", "with -bootstrap: the core machines, as id=address/zone,...")
 	stores := fs.String("stores", "", "with -bootstrap: the store machines, as id=address/zone,...")
 	file := fs.String("spec", "", "with -bootstrap: the first spec's file")
+	rate := fs.Int("move-rate", 500, "keys moved a second while a set changes")
 	ack := fs.Duration("ack-wait", 5*time.Second, "how long an operator's change waits to be in force")
 	if err := p.Parse(args); err != nil {
 		return err
 	}
-	cp := core.Params{Bootstrap: *boot, AckWait: *ack}
+	if *rate < 1 {
+		return code.New(code.BadFlag, "-move-rate: %d is less than 1", *rate)
+	}
+	cp := core.Params{Bootstrap: *boot, AckWait: *ack, MoveRate: *rate}
 	if p.Data == "" {
 		return code.New(code.BadFlag, "-data: missing")
 	}
--- a/cmd/dtcore/operate.go
+++ b/cmd/dtcore/operate.go
@@ -23,6 +23,7 @@
 	at := fs.String("core", "127.0.0.1:7200", "HTTP addresses of core machines, with commas between; the first that answers is asked")
 	file := fs.String("file", "-", "file to send; - is standard input")
 	expect := fs.Uint64("expect", 0, "version that is to be replaced")
+	place := fs.String("for", "", "admit: the machine whose place it takes")
 	wait := fs.Duration("wait", 10*time.Second, "how long to wait for the answer")
 	// Words may stand before and after flags.
 	var words []string
@@ -86,7 +87,24 @@
 		return ask(http.MethodGet, "/v1/spec/versions/"+words[2], nil)
 	case len(words) == 3 && words[0] == "zone" && (words[1] == "empty" || words[1] == "refill") && spec.Name(words[2]):
 		return ask(http.MethodPost, "/v1/zones/"+words[2]+"/"+words[1], nil)
-	case cmd == "members", cmd == "health":
+	case len(words) >= 2 && (words[0] == "store" || words[0] == "core") && len(words) <= 3:
+		o := map[string]string{}
+		switch {
+		case len(words) == 3 && (words[1] == "admit" || words[1] == "retire") && spec.Name(words[2]):
+			o["id"] = words[2]
+			if *place != "" {
+				o["for"] = *place
+			}
+		case len(words) == 2 && words[1] == "abandon":
+		default:
+			return code.New(code.BadFlag, "%q is no subcommand\n%s", cmd, usage)
+		}
+		b, err := json.Marshal(o)
+		if err != nil {
+			return err
+		}
+		return ask(http.MethodPost, "/v1/sets/"+words[0]+"s/"+words[1], b)
+	case cmd == "members", cmd == "health", cmd == "sets":
 		return ask(http.MethodGet, "/v1/"+cmd, nil)
 	default:
 		return code.New(code.BadFlag, "%q is no subcommand\n%s", cmd, usage)
--- a/cmd/dtpass/main.go
+++ b/cmd/dtpass/main.go
@@ -121,7 +121,7 @@
 	}
 	x := web.New(log)
 	x.GET("/v1/status", func(c echo.Context) error {
-		return c.JSON(http.StatusOK, map[string]any{"id": p.ID, "ready": true, "spec": s.Realm.Now().Ver, "ident": v.Ident(), "messages_sent": s.Peer.Sent()})
+		return c.JSON(http.StatusOK, map[string]any{"id": p.ID, "ready": true, "spec": s.Realm.Now().Ver, "ident": v.Ident(), "messages_sent": s.Peer.Sent(), "mended": s.Mended()})
 	})
 	if p.Faults {
 		web.Faults(x, s.Peer.Cuts)
--- a/coord/core/core.go
+++ b/coord/core/core.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"damsontiller/coord/licence"
@@ -25,6 +26,28 @@
 	Note(key string, b []byte) error
 	Noted(key string) ([]byte, error)
 	Notes(prefix string) (map[string][]byte, error)
+	Lister
+}
+
+// Lister pages through the keys that a disk holds.
+type Lister interface {
+	Keys(kind wire.List_Kind, after string, limit int, want func(string) bool) ([]*wire.Row, error)
+}
+
+// MaxPage bounds one page of keys.
+const MaxPage = 1000
+
+// List answers List calls from a disk; want narrows them.
+func List(d Lister, q *wire.List, want func(string) bool) (*wire.Resp, error) {
+	n := int(q.Limit)
+	if n <= 0 || n > MaxPage {
+		n = MaxPage
+	}
+	rows, err := d.Keys(q.Kind, q.After, n, want)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Resp{Op: &wire.Resp_Rows{Rows: &wire.Rows{Rows: rows}}}, nil
 }
 
 // Params are a core machine's settings.
@@ -34,6 +57,8 @@
 	Cores     []spec.Machine
 	Stores    []spec.Machine
 	Spec      *spec.Spec
+	// MoveRate bounds the keys moved a second while a set changes.
+	MoveRate int
 	// AckWait is how long an operator's request waits to be acknowledged.
 	AckWait time.Duration
 }
@@ -44,6 +69,7 @@
 	disk  Disk
 	acc   *reg.Acceptor
 	table *licence.Table
+	moved atomic.Int64 // keys moved in the change of a set under way
 	*node.Node
 }
 
@@ -80,8 +106,12 @@
 	if err := Recall(d.Noted, c.Realm); err != nil {
 		return nil, err
 	}
-	Vote(c.Node, c.acc, func() []spec.Machine { return c.Realm.Now().Realm.Cores })
+	Vote(c.Node, c.acc, func() []spec.Machine {
+		v := c.Realm.Now()
+		return slices.Concat(v.Realm.Cores, v.NextCores)
+	})
 	c.Peer.On(&wire.Req_Renew{}, c.renew)
+	c.Peer.On(&wire.Req_List{}, func(_ context.Context, q *wire.Req) (*wire.Resp, error) { return List(d, q.GetList(), nil) })
 	c.Peer.On(&wire.Req_Members{}, func(context.Context, *wire.Req) (*wire.Resp, error) {
 		return &wire.Resp{Op: &wire.Resp_Members{Members: &wire.MembersAck{Members: c.table.List()}}}, nil
 	})
@@ -139,6 +169,7 @@
 	}
 	c.Run(ctx)
 	c.Go(ctx, func(ctx context.Context) { loop.Every(ctx, 500*time.Millisecond, nil, c.bind) })
+	c.Go(ctx, func(ctx context.Context) { loop.Every(ctx, 500*time.Millisecond, nil, c.move) })
 	return nil
 }
 
@@ -273,28 +304,30 @@
 // known merges the members that a majority of core machines know: the newest
 // start of each, its highest confirmation, its shortest silence.
 func (c *Core) known(ctx context.Context) (map[string]*wire.Member, error) {
-	cores := c.Realm.Now().Realm.Cores
+	set := c.Realm.Now().Cores()
 	ctx, stop := context.WithTimeout(ctx, time.Second)
 	defer stop()
 	type answer struct {
+		r   reg.Replica
 		ms  []*wire.Member
 		err error
 	}
+	cores := set.All()
 	ch := make(chan answer, len(cores))
 	for _, m := range cores {
 		go func() {
 			r, err := c.Peer.Call(ctx, m.Addr, &wire.Req{Ident: m.Ident, Op: &wire.Req_Members{Members: &wire.MembersAsk{}}})
-			ch <- answer{r.GetMembers().GetMembers(), err}
+			ch <- answer{m, r.GetMembers().GetMembers(), err}
 		}()
 	}
 	all := map[string]*wire.Member{}
-	got := 0
+	have := map[reg.Replica]bool{}
 	for range cores {
 		a := <-ch
 		if a.err != nil {
 			continue
 		}
-		got++
+		have[a.r] = true
 		for _, m := range a.ms {
 			k := m.Id + "@" + m.Addr
 			o := all[k]
@@ -307,8 +340,8 @@
 			}
 		}
 	}
-	if got*2 <= len(cores) {
-		return nil, code.New(code.CoreAway, "%d of %d core machines answered", got, len(cores))
+	if !set.Quorum(have) {
+		return nil, code.New(code.CoreAway, "%d of %d core machines answered", len(have), len(cores))
 	}
 	return all, nil
 }
--- a/coord/core/ops.go
+++ b/coord/core/ops.go
@@ -38,6 +38,7 @@
 	e.POST("/v1/zones/:zone/refill", func(x echo.Context) error { return c.zone(x, false) })
 	e.GET("/v1/members", c.getMembers)
 	e.GET("/v1/health", c.getHealth)
+	c.setRoutes(e)
 }
 
 func (c *Core) getSpec(x echo.Context) error {
@@ -65,7 +66,7 @@
 	if p.Expect == 0 {
 		return web.Fail(x, code.New(code.BadField, "expect: the version to be replaced is missing"))
 	}
-	return c.change(x, p.Expect, func(s *spec.Spec) { *s = p.Spec })
+	return c.changeSpec(x, p.Expect, func(s *spec.Spec) { *s = p.Spec })
 }
 
 func (c *Core) patchSpec(x echo.Context) error {
@@ -77,7 +78,7 @@
 	if err := spec.Read(b, &p); err != nil {
 		return web.Fail(x, err)
 	}
-	return c.change(x, p.Expect, func(s *spec.Spec) { *s = p.Apply(*s) })
+	return c.changeSpec(x, p.Expect, func(s *spec.Spec) { *s = p.Apply(*s) })
 }
 
 func (c *Core) zone(x echo.Context, empty bool) error {
@@ -85,7 +86,7 @@
 	if !slices.Contains(c.Realm.Now().Spec.Zones, z) {
 		return web.Fail(x, code.New(code.NoZone, "%q is not one of zones", z))
 	}
-	return c.change(x, 0, func(s *spec.Spec) {
+	return c.changeSpec(x, 0, func(s *spec.Spec) {
 		s.EmptyZones = slices.DeleteFunc(slices.Clone(s.EmptyZones), func(e string) bool { return e == z })
 		if empty {
 			s.EmptyZones = append(s.EmptyZones, z)
@@ -93,15 +94,19 @@
 	})
 }
 
-// change makes f's change, checks it, and answers as the rule of
-// acknowledgement says.
-func (c *Core) change(x echo.Context, expect uint64, f func(*spec.Spec)) error {
-	ctx, stop := context.WithTimeout(x.Request().Context(), c.p.AckWait)
-	defer stop()
-	ver, raw, err := c.Realm.Change(ctx, expect, func(r *spec.Realm) error {
+// changeSpec makes f's change and checks the spec that comes of it.
+func (c *Core) changeSpec(x echo.Context, expect uint64, f func(*spec.Spec)) error {
+	return c.change(x, expect, func(r *spec.Realm) error {
 		f(&r.Spec)
 		return r.Spec.Check()
 	})
+}
+
+// change makes f's change and answers as the rule of acknowledgement says.
+func (c *Core) change(x echo.Context, expect uint64, f func(*spec.Realm) error) error {
+	ctx, stop := context.WithTimeout(x.Request().Context(), c.p.AckWait)
+	defer stop()
+	ver, raw, err := c.Realm.Change(ctx, expect, f)
 	if err != nil {
 		p := web.Of(err)
 		if code.Of(err) == code.SpecConflict {
@@ -185,7 +190,7 @@
 
 func (c *Core) votes(m *wire.Member) bool {
 	v := c.Realm.Now()
-	return slices.ContainsFunc(append(slices.Clone(v.Realm.Cores), v.Realm.Stores...), func(s spec.Machine) bool { return s.Ident != "" && s.Ident == m.Ident })
+	return slices.ContainsFunc(slices.Concat(v.Realm.Cores, v.NextCores, v.Realm.Stores, v.NextStores), func(s spec.Machine) bool { return s.Ident != "" && s.Ident == m.Ident })
 }
 
 // getHealth tells what an operator should look at first.
@@ -196,6 +201,9 @@
 	}
 	v := c.Realm.Now()
 	wrong := []string{}
+	if len(v.NextCores)+len(v.NextStores) > 0 {
+		wrong = append(wrong, "a change of a set is under way")
+	}
 	for _, m := range append(slices.Clone(v.Realm.Cores), v.Realm.Stores...) {
 		g := all[m.ID+"@"+m.Addr]
 		switch {
--- a/coord/licence/holder.go
+++ b/coord/licence/holder.go
@@ -9,6 +9,7 @@
 
 	"damsontiller/coord/peer"
 	"damsontiller/coord/realm"
+	"damsontiller/proto/reg"
 	"damsontiller/proto/wire"
 	"damsontiller/xport/loop"
 )
@@ -52,7 +53,8 @@
 // Renew asks every core machine once; it tells whether a majority granted.
 func (h *Holder) Renew(ctx context.Context) bool {
 	v := h.realm.Now()
-	cores := v.Realm.Cores
+	set := v.Cores()
+	cores := set.All()
 	if len(cores) == 0 {
 		return false
 	}
@@ -67,32 +69,36 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, h.p.Lasts/2)
 	defer stop()
-	ch := make(chan *wire.RenewAck, len(cores))
+	type answer struct {
+		r reg.Replica
+		a *wire.RenewAck
+	}
+	ch := make(chan answer, len(cores))
 	for _, c := range cores {
 		go func() {
 			r, err := h.peer.Call(ctx, c.Addr, &wire.Req{Ident: c.Ident, Op: &wire.Req_Renew{Renew: &wire.Renew{Self: self, MembersSum: sum}}})
 			if err != nil {
-				ch <- nil
+				ch <- answer{c, nil}
 				return
 			}
-			ch <- r.GetRenew()
+			ch <- answer{c, r.GetRenew()}
 		}()
 	}
-	got, behind := 0, false
+	have, behind := map[reg.Replica]bool{}, false
 	var lists []*wire.RenewAck
 	for range cores {
 		a := <-ch
-		if a == nil {
+		if a.a == nil {
 			continue
 		}
-		got++
-		lists = append(lists, a)
-		behind = behind || a.SpecVer > v.Ver
-		if got*2 > len(cores) {
+		have[a.r] = true
+		lists = append(lists, a.a)
+		behind = behind || a.a.SpecVer > v.Ver
+		if set.Quorum(have) {
 			break
 		}
 	}
-	if got*2 <= len(cores) {
+	if !set.Quorum(have) {
 		return false
 	}
 	h.mu.Lock()
--- a/coord/realm/realm.go
+++ b/coord/realm/realm.go
@@ -91,8 +91,14 @@
 	return nil
 }
 
-// Cores is the spec register's voters.
-func (v *View) Cores() reg.Set { return reg.Set{replicas(v.Realm.Cores)} }
+// Cores is the spec register's voters: two groups while the set changes.
+func (v *View) Cores() reg.Set {
+	set := reg.Set{replicas(v.Realm.Cores)}
+	if len(v.NextCores) > 0 {
+		set = append(set, replicas(v.NextCores))
+	}
+	return set
+}
 
 func replicas(ms []spec.Machine) []reg.Replica {
 	out := make([]reg.Replica, len(ms))
@@ -102,19 +108,32 @@
 	return out
 }
 
-// Stores is the voters of one key: rendezvous order over the stores whose
-// identity is known, spread over zones first.
+// Stores is the voters of one key: two groups while the set changes.
 func (v *View) Stores(key string) reg.Set {
+	g := holders(v.Realm.Stores, key)
+	if g == nil {
+		return nil
+	}
+	set := reg.Set{g}
+	if len(v.NextStores) > 0 {
+		set = append(set, holders(v.NextStores, key))
+	}
+	return set
+}
+
+// holders are a key's stores: rendezvous order over those whose identity is
+// known, spread over zones first.
+func holders(set []spec.Machine, key string) []reg.Replica {
 	type cand struct {
 		m spec.Machine
 		h uint64
 	}
 	var all []cand
-	for _, m := range v.Realm.Stores {
+	for _, m := range set {
 		if m.Ident != "" {
 			h := fnv.New64a()
 			fmt.Fprintf(h, "%s/%s", key, m.ID)
-			all = append(all, cand{m, h.Sum64()})
+			all = append(all, cand{m, mix(h.Sum64())})
 		}
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].h > all[j].h })
@@ -132,10 +151,18 @@
 	take(true)
 	// Fewer than all copies is no set to write to: a lone store would answer
 	// for a majority that does not exist yet.
-	if len(got) < min(Copies, len(v.Realm.Stores)) || len(got) == 0 {
+	if len(got) < min(Copies, len(set)) || len(got) == 0 {
 		return nil
 	}
-	return reg.Set{replicas(got)}
+	return replicas(got)
+}
+
+// mix spreads a hash whose last letters differ little.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
 }
 
 // Read fetches the realm at a majority and puts it in force.
--- a/coord/tier/tier.go
+++ b/coord/tier/tier.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sort"
 	"time"
 
 	"damsontiller/coord/peer"
@@ -69,9 +70,11 @@
 	err error
 }
 
-func (t *Tier) ask(ctx context.Context, s reg.Set, q func() *wire.Req) <-chan got {
-	ch := make(chan got, len(s[0]))
-	for _, r := range s[0] {
+// ask sends to every voter; the channel has room for all answers.
+func (t *Tier) ask(ctx context.Context, s reg.Set, q func() *wire.Req) (<-chan got, int) {
+	all := s.All()
+	ch := make(chan got, len(all))
+	for _, r := range all {
 		go func() {
 			m := q()
 			m.Ident = r.Ident
@@ -79,10 +82,10 @@
 			ch <- got{r, a.GetGot(), err}
 		}()
 	}
-	return ch
+	return ch, len(all)
 }
 
-// PutBlob keeps an immutable value at a majority.
+// PutBlob keeps an immutable value at a majority of every group.
 func (t *Tier) PutBlob(ctx context.Context, key string, val []byte, keep time.Duration) error {
 	s, err := t.set(key)
 	if err != nil {
@@ -90,30 +93,30 @@
 	}
 	// A straggler's copy is still worth having once a majority has answered.
 	bg, stop := context.WithTimeout(context.WithoutCancel(ctx), 5*time.Second)
-	ch := t.ask(bg, s, func() *wire.Req {
+	ch, n := t.ask(bg, s, func() *wire.Req {
 		return &wire.Req{Op: &wire.Req_Put{Put: &wire.Put{Key: key, Val: val, KeepMs: keep.Milliseconds()}}}
 	})
 	done := make(chan error, 1)
 	go func() {
 		defer stop()
-		ok, last := 0, error(nil)
-		for range s[0] {
+		have, last := map[reg.Replica]bool{}, error(nil)
+		tell := func(err error) {
+			select {
+			case done <- err:
+			default:
+			}
+		}
+		for range n {
 			g := <-ch
 			if g.err != nil {
 				last = g.err
 				continue
 			}
-			if ok++; ok*2 > len(s[0]) {
-				select {
-				case done <- nil:
-				default:
-				}
+			if have[g.r] = true; s.Quorum(have) {
+				tell(nil)
 			}
 		}
-		select {
-		case done <- fmt.Errorf("%d of %d stores: %w", ok, len(s[0]), last):
-		default:
-		}
+		tell(fmt.Errorf("%d of %d stores: %w", len(have), n, last))
 	}()
 	select {
 	case err := <-done:
@@ -127,7 +130,8 @@
 }
 
 // GetBlob finds an immutable value. One copy is proof enough that it is there;
-// only a majority without it proves that it is not.
+// only a majority of the old set, which is whole until a change has ended,
+// proves that it is not.
 func (t *Tier) GetBlob(ctx context.Context, key string) ([]byte, error) {
 	s, err := t.set(key)
 	if err != nil {
@@ -135,10 +139,10 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	ch := t.ask(ctx, s, func() *wire.Req { return &wire.Req{Op: &wire.Req_Get{Get: &wire.Get{Key: key}}} })
-	none, past := 0, false
+	ch, n := t.ask(ctx, s, func() *wire.Req { return &wire.Req{Op: &wire.Req_Get{Get: &wire.Get{Key: key}}} })
+	without, past := map[reg.Replica]bool{}, false
 	last := error(nil)
-	for range s[0] {
+	for range n {
 		g := <-ch
 		switch {
 		case g.err != nil:
@@ -149,7 +153,7 @@
 		case g.g.GetState() == wire.Got_PAST:
 			past = true
 		}
-		if none++; none*2 > len(s[0]) {
+		if without[g.r] = true; s[:1].Quorum(without) {
 			if past {
 				return nil, code.New(code.PastKeeping, "%s is past its keeping time", key)
 			}
@@ -158,3 +162,87 @@
 	}
 	return nil, code.New(code.TierAway, "get %s: %w", key, last)
 }
+
+// Keys gathers the keys of a kind that a majority of a set's machines hold,
+// which is every key that was ever written whole.
+func (t *Tier) Keys(ctx context.Context, group []reg.Replica, kind wire.List_Kind) ([]string, error) {
+	seen := map[string]bool{}
+	ok := 0
+	var last error
+	for _, r := range group {
+		keys, err := t.list(ctx, r, kind)
+		if err != nil {
+			last = err
+			continue
+		}
+		ok++
+		for _, k := range keys {
+			seen[k] = true
+		}
+	}
+	if ok*2 <= len(group) {
+		return nil, code.New(code.TierAway, "keys of %d of %d machines: %w", ok, len(group), last)
+	}
+	out := make([]string, 0, len(seen))
+	for k := range seen {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out, nil
+}
+
+func (t *Tier) list(ctx context.Context, r reg.Replica, kind wire.List_Kind) ([]string, error) {
+	var out []string
+	after := ""
+	for {
+		a, err := t.Peer.CallFor(ctx, 2*time.Second, r.Addr, &wire.Req{Ident: r.Ident, Op: &wire.Req_List{List: &wire.List{Kind: kind, After: after, Limit: 1000}}})
+		if err != nil {
+			return nil, err
+		}
+		rows := a.GetRows().GetRows()
+		for _, row := range rows {
+			out = append(out, row.Key)
+		}
+		if len(rows) < 1000 {
+			return out, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// MendBlob brings a turn to every store of the last group, for the longest
+// time that any copy still has.
+func (t *Tier) MendBlob(ctx context.Context, key string) error {
+	s, err := t.set(key)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithTimeout(ctx, 2*time.Second)
+	defer stop()
+	var best *wire.Got
+	ch, n := t.ask(ctx, s, func() *wire.Req { return &wire.Req{Op: &wire.Req_Get{Get: &wire.Get{Key: key}}} })
+	for range n {
+		g := <-ch
+		if g.err == nil && g.g.GetState() == wire.Got_HERE && (best == nil || g.g.KeepMs-g.g.AgeMs > best.KeepMs-best.AgeMs) {
+			best = g.g
+		}
+	}
+	if best == nil || best.KeepMs <= best.AgeMs {
+		// Past its time everywhere that answered: nothing to bring.
+		return nil
+	}
+	whole := reg.Set{s[len(s)-1]}
+	ch, n = t.ask(ctx, whole, func() *wire.Req {
+		return &wire.Req{Op: &wire.Req_Put{Put: &wire.Put{Key: key, Val: best.Val, KeepMs: best.KeepMs - best.AgeMs}}}
+	})
+	var last error
+	for range n {
+		if g := <-ch; g.err != nil {
+			last = g.err
+		}
+	}
+	if last != nil {
+		return code.New(code.TierAway, "mend %s: %w", key, last)
+	}
+	return nil
+}
--- a/coord/web/web.go
+++ b/coord/web/web.go
@@ -3,11 +3,14 @@
 package web
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -78,6 +81,22 @@
 	return b, nil
 }
 
+// Strict reads JSON without unknown fields and with nothing after it.
+func Strict(b []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		if strings.Contains(err.Error(), "unknown field") {
+			return code.New(code.UnknownField, "%w", err)
+		}
+		return code.New(code.BadJSON, "%w", err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return code.New(code.BadJSON, "something follows the body")
+	}
+	return nil
+}
+
 // Faults adds the rehearsal kit's switch for cutting this process off.
 func Faults(e *echo.Echo, cuts *xport.Cuts) {
 	e.POST("/debug/cuts", func(c echo.Context) error {
--- a/kit/rig/rig.go
+++ b/kit/rig/rig.go
@@ -111,6 +111,7 @@
 		r.traffic(ctx, time.Duration(max(p.Seconds, s.Seconds))*time.Second)
 	})
 	rctx, rstop := context.WithCancel(ctx)
+	defer rstop()
 	recorded := make(chan error, 1)
 	go func() { recorded <- r.record(rctx) }()
 	// A little quiet traffic first, so that a failure has something to break.
--- a/kit/sim/sim.go
+++ b/kit/sim/sim.go
@@ -6,6 +6,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -25,6 +27,7 @@
 	"damsontiller/coord/licence"
 	"damsontiller/coord/news"
 	"damsontiller/coord/node"
+	"damsontiller/coord/realm"
 	"damsontiller/coord/web"
 	"damsontiller/kit/judge"
 	"damsontiller/kit/origin"
@@ -231,7 +234,7 @@
 	var n *node.Node
 	switch m.Role {
 	case "core":
-		c, err := core.New(core.Params{Bootstrap: first, Cores: s.cores, Stores: s.stores, Spec: &s.Spec, AckWait: 5 * time.Second}, np, v)
+		c, err := core.New(core.Params{Bootstrap: first, Cores: s.cores, Stores: s.stores, Spec: &s.Spec, AckWait: 5 * time.Second, MoveRate: 500}, np, v)
 		if err != nil {
 			return err
 		}
@@ -343,6 +346,102 @@
 	return out
 }
 
+// Operate sends an operator's request to the first core that runs.
+func (s *Sim) Operate(method, path string, body, into any) (int, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return 0, err
+	}
+	for _, m := range s.Machines {
+		s.mu.Lock()
+		l := m.live
+		s.mu.Unlock()
+		if m.Role != "core" || l == nil {
+			continue
+		}
+		q, err := http.NewRequest(method, "http://"+m.HTTP+path, bytes.NewReader(b))
+		if err != nil {
+			return 0, err
+		}
+		r, err := s.RoundTrip(q)
+		if err != nil {
+			continue
+		}
+		got, err := io.ReadAll(r.Body)
+		if err == nil && into != nil {
+			err = json.Unmarshal(got, into)
+		}
+		return r.StatusCode, err
+	}
+	return 0, errors.New("no core runs")
+}
+
+// Ack is the answer to an operator's change.
+type Ack struct {
+	Version uint64   `json:"version"`
+	Code    int      `json:"code"`
+	Problem string   `json:"problem"`
+	Waiting []string `json:"waiting"`
+}
+
+// Change makes an operator's change and notes its acknowledgement.
+func (s *Sim) Change(method, path string, body any) (int, Ack, error) {
+	var a Ack
+	st, err := s.Operate(method, path, body, &a)
+	if err == nil && st == http.StatusOK {
+		s.Note(judge.Acked, path, a.Version)
+	}
+	return st, a, err
+}
+
+// Zone empties or refills a zone.
+func (s *Sim) Zone(zone string, empty bool) (int, Ack, error) {
+	if !empty {
+		s.Note(judge.Refill, zone, 0)
+		return s.Change(http.MethodPost, "/v1/zones/"+zone+"/refill", nil)
+	}
+	st, a, err := s.Change(http.MethodPost, "/v1/zones/"+zone+"/empty", nil)
+	if err == nil && st == http.StatusOK {
+		s.Note(judge.Empty, zone, 0)
+	}
+	return st, a, err
+}
+
+// Add lays out one more machine; Up starts it.
+func (s *Sim) Add(id, role string, z, host int) { s.add(id, role, z, host) }
+
+// Realm is what the first running core has in force.
+func (s *Sim) Realm() *realm.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.Machines {
+		if m.live != nil && m.live.core != nil {
+			return m.live.core.Realm.Now()
+		}
+	}
+	return &realm.View{}
+}
+
+// Store is a running store.
+func (s *Sim) Store(id string) *store.Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.Get(id).live; l != nil {
+		return l.store
+	}
+	return nil
+}
+
+// Until waits, in simulated time, until ok says so.
+func Until(most time.Duration, ok func() bool) bool {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if ok() {
+			return true
+		}
+	}
+	return ok()
+}
+
 // Note writes an event down.
 func (s *Sim) Note(k judge.EventKind, id string, ver uint64) {
 	s.mu.Lock()
--- a/pass/door/door.go
+++ b/pass/door/door.go
@@ -3,13 +3,10 @@
 package door
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -226,24 +223,9 @@
 	return time.Duration(f * float64(time.Second)), nil
 }
 
-func parse(b []byte, into any) error {
-	dec := json.NewDecoder(bytes.NewReader(b))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
-		if strings.Contains(err.Error(), "unknown field") {
-			return code.New(code.UnknownField, "%w", err)
-		}
-		return code.New(code.BadJSON, "%w", err)
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return code.New(code.BadJSON, "something follows the body")
-	}
-	return nil
-}
-
 func (d *Door) turn(c *job.Ctx, b []byte) error {
 	var t Turn
-	if err := parse(b, &t); err != nil {
+	if err := web.Strict(b, &t); err != nil {
 		return err
 	}
 	if !spec.Name(t.Conversation) {
@@ -272,7 +254,7 @@
 
 func (d *Door) call(c *job.Ctx, b []byte) error {
 	var t Call
-	if err := parse(b, &t); err != nil {
+	if err := web.Strict(b, &t); err != nil {
 		return err
 	}
 	c.Words, c.Class = string(t.Args), t.Class
--- a/pass/store/store.go
+++ b/pass/store/store.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"damsontiller/coord/core"
@@ -19,22 +21,35 @@
 // Store is one store process.
 type Store struct {
 	*node.Node
-	v *vault.Vault
+	v      *vault.Vault
+	acc    *reg.Acceptor
+	mended atomic.Int64 // keys taken from other stores
 }
 
 // New makes a store over its vault.
 func New(np node.Params, v *vault.Vault) (*Store, error) {
 	np.Keep = core.Keep(v.Note)
-	s := &Store{Node: node.New(np), v: v}
+	s := &Store{Node: node.New(np), v: v, acc: reg.NewAcceptor(v)}
 	if err := core.Recall(v.Noted, s.Realm); err != nil {
 		return nil, err
 	}
-	core.Vote(s.Node, reg.NewAcceptor(v), func() []spec.Machine { return s.Realm.Now().Realm.Stores })
+	core.Vote(s.Node, s.acc, func() []spec.Machine {
+		v := s.Realm.Now()
+		return slices.Concat(v.Realm.Stores, v.NextStores)
+	})
 	s.Peer.On(&wire.Req_Put{}, s.put)
 	s.Peer.On(&wire.Req_Get{}, s.get)
+	s.Peer.On(&wire.Req_Sum{}, s.answerSums)
+	s.Peer.On(&wire.Req_List{}, s.answerList)
 	return s, nil
 }
 
+// RepairEvery is the time between two comparisons with another store.
+const RepairEvery = 3 * time.Second
+
+// Mended counts the keys taken from other stores.
+func (s *Store) Mended() int64 { return s.mended.Load() }
+
 // MaxKey bounds a key; longer ones are refused before the disk sees them.
 const MaxKey = 512
 
@@ -76,6 +91,7 @@
 		})
 	})
 	s.Go(ctx, func(ctx context.Context) { loop.Every(ctx, time.Minute, nil, s.sweep) })
+	s.Go(ctx, func(ctx context.Context) { loop.Every(ctx, RepairEvery, nil, s.repair) })
 	return nil
 }
 
--- a/proto/reg/acceptor.go
+++ b/proto/reg/acceptor.go
@@ -83,6 +83,27 @@
 	return a.view(q.Key, r), nil
 }
 
+// Adopt takes what another acceptor of the key has taken, under the very rule
+// of an accept: never below what was promised.
+func (a *Acceptor) Adopt(key string, v *wire.View) error {
+	defer a.lock(key)()
+	r, err := a.disk.Load(key)
+	if err != nil || wire.Cmp(v.GetAccepted(), r.Accepted) <= 0 {
+		return err
+	}
+	if wire.Cmp(v.Accepted, r.Promised) < 0 {
+		return code.New(code.OldBallot, "promised %d", r.Promised.GetN())
+	}
+	r.Promised, r.Accepted, r.Cell = v.Accepted, v.Accepted, v.Cell
+	if err := a.disk.Save(key, r); err != nil {
+		return err
+	}
+	if r.Cell.GetTimed() {
+		a.note(key, lastOp(r.Cell))
+	}
+	return nil
+}
+
 // Look reads without promising.
 func (a *Acceptor) Look(q *wire.Look) (*wire.View, error) {
 	defer a.lock(q.Key)()
--- a/proto/reg/proposer.go
+++ b/proto/reg/proposer.go
@@ -23,7 +23,8 @@
 // are two groups while one set replaces another.
 type Set [][]Replica
 
-func (s Set) all() []Replica {
+// All lists the voters of all groups, each once.
+func (s Set) All() []Replica {
 	var out []Replica
 	for _, g := range s {
 		for _, r := range g {
@@ -35,7 +36,8 @@
 	return out
 }
 
-func (s Set) quorum(have map[Replica]bool) bool {
+// Quorum tells whether a majority of every group is among have.
+func (s Set) Quorum(have map[Replica]bool) bool {
 	for _, g := range s {
 		n := 0
 		for _, r := range g {
@@ -111,7 +113,7 @@
 	p.Rounds.Add(1)
 	ctx, stop := context.WithTimeout(ctx, p.Retry)
 	defer stop()
-	all := set.all()
+	all := set.All()
 	ch := make(chan reply, len(all))
 	for _, r := range all {
 		q := mk()
@@ -183,12 +185,12 @@
 // back first, so that no later read can miss it.
 func (p *Proposer) Read(ctx context.Context, set Set, key string) (State, error) {
 	got := p.round(ctx, set, func() *wire.Req { return &wire.Req{Op: &wire.Req_Look{Look: &wire.Look{Key: key}}} },
-		func(got []reply) bool { return set.quorum(good(got)) })
-	if !set.quorum(good(got)) {
+		func(got []reply) bool { return set.Quorum(good(got)) })
+	if !set.Quorum(good(got)) {
 		return State{}, fmt.Errorf("read %s: %w: %w", key, ErrNoQuorum, firstErr(got))
 	}
 	top, holders := highest(got)
-	if set.quorum(holders) {
+	if set.Quorum(holders) {
 		return stateOf(top), nil
 	}
 	st, err := p.Change(ctx, set, key, nil)
@@ -199,6 +201,47 @@
 	return st, err
 }
 
+// Mend writes a key's value back under a new ballot until every voter of the
+// last group has taken it. It changes nothing.
+func (p *Proposer) Mend(ctx context.Context, set Set, key string) error {
+	if len(set) == 0 {
+		return fmt.Errorf("mend %s: %w", key, ErrNoQuorum)
+	}
+	whole := set[len(set)-1]
+	for try := 0; ; try++ {
+		if try > 0 && !loop.Wait(ctx, pause(try)) || ctx.Err() != nil {
+			return fmt.Errorf("mend %s: %w: %w", key, ErrNoQuorum, ctx.Err())
+		}
+		b := p.ballot()
+		got := p.round(ctx, set, func() *wire.Req { return &wire.Req{Op: &wire.Req_Prep{Prep: &wire.Prep{Key: key, Ballot: b}}} },
+			func(got []reply) bool { return set.Quorum(good(got)) })
+		p.learn(got)
+		if !set.Quorum(good(got)) {
+			continue
+		}
+		cur, _ := highest(got)
+		if cur.GetCell() == nil {
+			return nil
+		}
+		all := func(got []reply) bool {
+			have := good(got)
+			for _, r := range whole {
+				if !have[r] {
+					return false
+				}
+			}
+			return set.Quorum(have)
+		}
+		got = p.round(ctx, set, func() *wire.Req {
+			return &wire.Req{Op: &wire.Req_Acc{Acc: &wire.Acc{Key: key, Ballot: b, Cell: cur.GetCell()}}}
+		}, all)
+		p.learn(got)
+		if all(got) {
+			return nil
+		}
+	}
+}
+
 // Func works out the new value from the present one. An error leaves the
 // register as it is and is handed back. It may be called several times.
 type Func func(State) (val []byte, timed bool, err error)
@@ -224,9 +267,9 @@
 		}
 		b := p.ballot()
 		got := p.round(ctx, set, func() *wire.Req { return &wire.Req{Op: &wire.Req_Prep{Prep: &wire.Prep{Key: key, Ballot: b}}} },
-			func(got []reply) bool { return set.quorum(good(got)) })
+			func(got []reply) bool { return set.Quorum(good(got)) })
 		p.learn(got)
-		if !set.quorum(good(got)) {
+		if !set.Quorum(good(got)) {
 			continue
 		}
 		cur, holders := highest(got)
@@ -259,14 +302,14 @@
 				cell = &wire.Cell{}
 			}
 		}
-		if cell == nil || set.quorum(holders) {
+		if cell == nil || set.Quorum(holders) {
 			return st, verdict
 		}
 		got = p.round(ctx, set, func() *wire.Req {
 			return &wire.Req{Op: &wire.Req_Acc{Acc: &wire.Acc{Key: key, Ballot: b, Cell: cell}}}
-		}, func(got []reply) bool { return set.quorum(good(got)) })
+		}, func(got []reply) bool { return set.Quorum(good(got)) })
 		p.learn(got)
-		if !set.quorum(good(got)) {
+		if !set.Quorum(good(got)) {
 			continue
 		}
 		if verdict == nil && !ours && f != nil {
--- a/proto/spec/types.go
+++ b/proto/spec/types.go
@@ -77,7 +77,12 @@
 type Realm struct {
 	Cores  []Machine `json:"cores"`
 	Stores []Machine `json:"stores"`
-	Spec   Spec      `json:"spec"`
+	// The sets being changed to; empty while no change is under way.
+	NextCores  []Machine `json:"next_cores,omitempty"`
+	NextStores []Machine `json:"next_stores,omitempty"`
+	// Used are the identities that were let go; none may come back.
+	Used []string `json:"used,omitempty"`
+	Spec Spec     `json:"spec"`
 }
 
 // Patch is a small change; what it leaves out stays as it is.
--- a/proto/spec/types_easyjson.go
+++ b/proto/spec/types_easyjson.go
@@ -982,6 +982,79 @@
 				}
 				in.Delim(']')
 			}
+		case "next_cores":
+			if in.IsNull() {
+				in.Skip()
+				out.NextCores = nil
+			} else {
+				in.Delim('[')
+				if out.NextCores == nil {
+					if !in.IsDelim(']') {
+						out.NextCores = make([]Machine, 0, 1)
+					} else {
+						out.NextCores = []Machine{}
+					}
+				} else {
+					out.NextCores = (out.NextCores)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v27 Machine
+					easyjson6601e8cdDecodeDamsontillerProtoSpec9(in, &v27)
+					out.NextCores = append(out.NextCores, v27)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "next_stores":
+			if in.IsNull() {
+				in.Skip()
+				out.NextStores = nil
+			} else {
+				in.Delim('[')
+				if out.NextStores == nil {
+					if !in.IsDelim(']') {
+						out.NextStores = make([]Machine, 0, 1)
+					} else {
+						out.NextStores = []Machine{}
+					}
+				} else {
+					out.NextStores = (out.NextStores)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v28 Machine
+					easyjson6601e8cdDecodeDamsontillerProtoSpec9(in, &v28)
+					out.NextStores = append(out.NextStores, v28)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "used":
+			if in.IsNull() {
+				in.Skip()
+				out.Used = nil
+			} else {
+				in.Delim('[')
+				if out.Used == nil {
+					if !in.IsDelim(']') {
+						out.Used = make([]string, 0, 4)
+					} else {
+						out.Used = []string{}
+					}
+				} else {
+					out.Used = (out.Used)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v29 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v29 = string(in.String())
+					}
+					out.Used = append(out.Used, v29)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		case "spec":
 			if in.IsNull() {
 				in.Skip()
@@ -1013,11 +1086,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v27, v28 := range in.Cores {
-				if v27 > 0 {
+			for v30, v31 := range in.Cores {
+				if v30 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec9(out, v28)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec9(out, v31)
 			}
 			out.RawByte(']')
 		}
@@ -1029,11 +1102,53 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v29, v30 := range in.Stores {
-				if v29 > 0 {
+			for v32, v33 := range in.Stores {
+				if v32 > 0 {
+					out.RawByte(',')
+				}
+				easyjson6601e8cdEncodeDamsontillerProtoSpec9(out, v33)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.NextCores) != 0 {
+		const prefix string = ",\"next_cores\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v34, v35 := range in.NextCores {
+				if v34 > 0 {
+					out.RawByte(',')
+				}
+				easyjson6601e8cdEncodeDamsontillerProtoSpec9(out, v35)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.NextStores) != 0 {
+		const prefix string = ",\"next_stores\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v36, v37 := range in.NextStores {
+				if v36 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec9(out, v30)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec9(out, v37)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Used) != 0 {
+		const prefix string = ",\"used\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v38, v39 := range in.Used {
+				if v38 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v39))
 			}
 			out.RawByte(']')
 		}
@@ -1270,13 +1385,13 @@
 						*out.EmptyZones = (*out.EmptyZones)[:0]
 					}
 					for !in.IsDelim(']') {
-						var v31 string
+						var v40 string
 						if in.IsNull() {
 							in.Skip()
 						} else {
-							v31 = string(in.String())
+							v40 = string(in.String())
 						}
-						*out.EmptyZones = append(*out.EmptyZones, v31)
+						*out.EmptyZones = append(*out.EmptyZones, v40)
 						in.WantComma()
 					}
 					in.Delim(']')
@@ -1305,9 +1420,9 @@
 						*out.Classes = (*out.Classes)[:0]
 					}
 					for !in.IsDelim(']') {
-						var v32 Class
-						easyjson6601e8cdDecodeDamsontillerProtoSpec4(in, &v32)
-						*out.Classes = append(*out.Classes, v32)
+						var v41 Class
+						easyjson6601e8cdDecodeDamsontillerProtoSpec4(in, &v41)
+						*out.Classes = append(*out.Classes, v41)
 						in.WantComma()
 					}
 					in.Delim(']')
@@ -1336,9 +1451,9 @@
 						*out.Keeping = (*out.Keeping)[:0]
 					}
 					for !in.IsDelim(']') {
-						var v33 Keeping
-						easyjson6601e8cdDecodeDamsontillerProtoSpec5(in, &v33)
-						*out.Keeping = append(*out.Keeping, v33)
+						var v42 Keeping
+						easyjson6601e8cdDecodeDamsontillerProtoSpec5(in, &v42)
+						*out.Keeping = append(*out.Keeping, v42)
 						in.WantComma()
 					}
 					in.Delim(']')
@@ -1367,9 +1482,9 @@
 						*out.Budgets = (*out.Budgets)[:0]
 					}
 					for !in.IsDelim(']') {
-						var v34 Budget
-						easyjson6601e8cdDecodeDamsontillerProtoSpec6(in, &v34)
-						*out.Budgets = append(*out.Budgets, v34)
+						var v43 Budget
+						easyjson6601e8cdDecodeDamsontillerProtoSpec6(in, &v43)
+						*out.Budgets = append(*out.Budgets, v43)
 						in.WantComma()
 					}
 					in.Delim(']')
@@ -1408,9 +1523,9 @@
 						*out.Runners = (*out.Runners)[:0]
 					}
 					for !in.IsDelim(']') {
-						var v35 Runner
-						easyjson6601e8cdDecodeDamsontillerProtoSpec2(in, &v35)
-						*out.Runners = append(*out.Runners, v35)
+						var v44 Runner
+						easyjson6601e8cdDecodeDamsontillerProtoSpec2(in, &v44)
+						*out.Runners = append(*out.Runners, v44)
 						in.WantComma()
 					}
 					in.Delim(']')
@@ -1452,11 +1567,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v36, v37 := range *in.EmptyZones {
-				if v36 > 0 {
+			for v45, v46 := range *in.EmptyZones {
+				if v45 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v37))
+				out.String(string(v46))
 			}
 			out.RawByte(']')
 		}
@@ -1473,11 +1588,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v38, v39 := range *in.Classes {
-				if v38 > 0 {
+			for v47, v48 := range *in.Classes {
+				if v47 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec4(out, v39)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec4(out, v48)
 			}
 			out.RawByte(']')
 		}
@@ -1494,11 +1609,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v40, v41 := range *in.Keeping {
-				if v40 > 0 {
+			for v49, v50 := range *in.Keeping {
+				if v49 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec5(out, v41)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec5(out, v50)
 			}
 			out.RawByte(']')
 		}
@@ -1515,11 +1630,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v42, v43 := range *in.Budgets {
-				if v42 > 0 {
+			for v51, v52 := range *in.Budgets {
+				if v51 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec6(out, v43)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec6(out, v52)
 			}
 			out.RawByte(']')
 		}
@@ -1546,11 +1661,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v44, v45 := range *in.Runners {
-				if v44 > 0 {
+			for v53, v54 := range *in.Runners {
+				if v53 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec2(out, v45)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec2(out, v54)
 			}
 			out.RawByte(']')
 		}
--- a/state/vault/vault.go
+++ b/state/vault/vault.go
@@ -272,6 +272,45 @@
 // Save returns once the record is synced.
 func (v *Vault) Save(key string, r *wire.Rec) error { return v.put(regPre+key, wire.Encode(r)) }
 
+// Keys gives up to limit keys of a kind after a key, in order, with the ballots
+// of registers. Of blobs only those within their keeping time count.
+func (v *Vault) Keys(kind wire.List_Kind, after string, limit int, want func(key string) bool) ([]*wire.Row, error) {
+	var out []*wire.Row
+	pre := regPre
+	if kind == wire.List_BLOBS {
+		pre = blobPre
+	}
+	now := v.Lived().Milliseconds()
+	err := v.from(pre, after, func(k string, raw []byte) (bool, error) {
+		k = k[len(pre):]
+		if want != nil && !want(k) {
+			return true, nil
+		}
+		row := &wire.Row{Key: k}
+		if kind == wire.List_BLOBS {
+			g := &wire.Got{}
+			if err := proto.Unmarshal(raw, g); err != nil {
+				return false, code.New(code.DiskProblem, "blob %s: %w", k, err)
+			}
+			if g.State != wire.Got_HERE || now-g.AgeMs > g.KeepMs {
+				return true, nil
+			}
+		} else {
+			r := &wire.Rec{}
+			if err := proto.Unmarshal(raw, r); err != nil {
+				return false, code.New(code.DiskProblem, "record %s: %w", k, err)
+			}
+			if r.Accepted == nil {
+				return true, nil
+			}
+			row.Ballot = r.Accepted
+		}
+		out = append(out, row)
+		return len(out) < limit, nil
+	})
+	return out, err
+}
+
 // Note keeps a small fact of the process's own; Noted reads it.
 func (v *Vault) Note(key string, b []byte) error { return v.put(metaPre+"n/"+key, b) }
 
@@ -290,13 +329,23 @@
 }
 
 func (v *Vault) each(pre string, on func(k string, b []byte) error) error {
+	return v.from(pre, "", func(k string, b []byte) (bool, error) { return true, on(k, b) })
+}
+
+// from goes through the entries of a prefix after a key, as long as on says so.
+func (v *Vault) from(pre, after string, on func(k string, b []byte) (bool, error)) error {
 	end := append([]byte(pre[:len(pre)-1]), pre[len(pre)-1]+1)
-	it, err := v.db.NewIter(&pebble.IterOptions{LowerBound: []byte(pre), UpperBound: end})
+	low := []byte(pre)
+	if after != "" {
+		low = append([]byte(pre+after), 0)
+	}
+	it, err := v.db.NewIter(&pebble.IterOptions{LowerBound: low, UpperBound: end})
 	if err != nil {
 		return code.New(code.DiskProblem, "scan: %w", err)
 	}
-	for ok := it.First(); ok && err == nil; ok = it.Next() {
-		err = on(string(it.Key()), it.Value())
+	more := true
+	for ok := it.First(); ok && more && err == nil; ok = it.Next() {
+		more, err = on(string(it.Key()), it.Value())
 	}
 	if cerr := it.Close(); err == nil && cerr != nil {
 		err = code.New(code.DiskProblem, "scan: %w", cerr)
--- a/xport/code/code.go
+++ b/xport/code/code.go
@@ -54,6 +54,10 @@
 	NoPath       Code = 408
 	NoMember     Code = 409
 	BadDay       Code = 410
+	BelowCopies  Code = 411
+	InSet        Code = 412
+	UsedIdentity Code = 413
+	SetChanging  Code = 414
 
 	FrameTooLong  Code = 501
 	Garbled       Code = 502
@@ -67,6 +71,7 @@
 	Unreachable   Code = 510
 	Unknown       Code = 511
 	NotHolder     Code = 512
+	DiskFull      Code = 513
 
 	BadFlag       Code = 601
 	ForeignFolder Code = 602
@@ -121,6 +126,10 @@
 	{NoPath, "no_path", 404, ""},
 	{NoMember, "no_member", 404, ""},
 	{BadDay, "bad_day", 0, ""},
+	{BelowCopies, "below_copies", 409, ""},
+	{InSet, "in_set", 409, ""},
+	{UsedIdentity, "used_identity", 409, ""},
+	{SetChanging, "set_changing", 409, ""},
 	{FrameTooLong, "frame_too_long", 0, ""},
 	{Garbled, "garbled", 0, ""},
 	{WireVersion, "wire_version", 0, ""},
@@ -133,6 +142,7 @@
 	{Unreachable, "unreachable", 503, ""},
 	{Unknown, "unknown", 500, ""},
 	{NotHolder, "not_holder", 0, ""},
+	{DiskFull, "disk_full", 0, ""},
 	{BadFlag, "bad_flag", 0, ""},
 	{ForeignFolder, "foreign_folder", 0, ""},
 	{FolderVersion, "folder_version", 0, ""},
