--- /dev/null
+++ b/kit/sim/chaos_test.go
@@ -0,0 +1,129 @@
+package sim_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"damsontiller/kit/judge"
+	"damsontiller/kit/runner"
+	"damsontiller/kit/sim"
+)
+
+// TestChaos combines faults at random under a seed, for minutes of simulated
+// time each. At most one core and one store machine are away at a time: that
+// much the system must survive. SIM_SEEDS sets how many seeds, SIM_FIRST the
+// first; a breach prints its seed.
+func TestChaos(t *testing.T) {
+	seeds, first := number("SIM_SEEDS", 4), number("SIM_FIRST", 100)
+	fired := map[string]int{}
+	for i := range seeds {
+		seed := first + i
+		deploy := []string{"andina", "tsehay"}[seed%2]
+		run(t, deploy, uint64(seed), 70*time.Second, func(ctx context.Context, s *sim.Sim) {
+			chaos(t, ctx, s, rand.New(rand.NewPCG(uint64(seed), 11)), fired)
+		})
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	t.Log(fired)
+	if len(fired) < 8 && seeds >= 4 {
+		t.Errorf("only these faults fired: %v", fired)
+	}
+}
+
+func number(env string, def int) int {
+	if n, err := strconv.Atoi(os.Getenv(env)); err == nil {
+		return n
+	}
+	return def
+}
+
+func chaos(t *testing.T, ctx context.Context, s *sim.Sim, rnd *rand.Rand, fired map[string]int) {
+	pick := func(role string) string {
+		var ids []string
+		for _, m := range s.Machines {
+			if m.Role == role {
+				ids = append(ids, m.ID)
+			}
+		}
+		return ids[rnd.IntN(len(ids))]
+	}
+	pause := func(most int) { time.Sleep(time.Duration(200+rnd.IntN(most)) * time.Millisecond) }
+	down := map[string]string{} // role: machine that is away
+	back := func(role string) {
+		if id := down[role]; id != "" {
+			up(t, ctx, s, id)
+			delete(down, role)
+			// The set must be whole again before another may go.
+			time.Sleep(4 * time.Second)
+		}
+	}
+	end := time.Now().Add(55 * time.Second)
+	for time.Now().Before(end) {
+		n := rnd.IntN(9)
+		switch n {
+		case 0, 1, 2:
+			role := []string{"edge", "store", "core"}[n]
+			back(role)
+			id := pick(role)
+			s.Kill(id)
+			down[role] = id
+			fired["kill "+role]++
+		case 3:
+			r := s.Runners[rnd.IntN(len(s.Runners))]
+			all := []runner.Order{runner.Refuse, runner.RefuseSecs, runner.RefuseDate, runner.Raise, runner.Lose, runner.Cut, runner.Mix, runner.Slow}
+			o := all[rnd.IntN(len(all))]
+			r.Give(o)
+			fired["order"]++
+		case 4:
+			r := s.Runners[rnd.IntN(len(s.Runners))]
+			if r.Drained().IsZero() {
+				r.Drain()
+				s.Note(judge.Drained, r.P.Name, 0)
+				fired["drain"]++
+				pause(4000)
+			}
+			s.RunnerDown(r.P.Name)
+			s.RunnerUp(r.P.Name)
+		case 5:
+			z := string(rune('a' + rnd.IntN(3)))
+			if st, _, err := s.Zone(z, true); err == nil && st == http.StatusOK {
+				fired["zone"]++
+			}
+			pause(6000)
+			if st, _, _ := s.Zone(z, false); st != http.StatusOK {
+				// It stays empty; the next emptying may be refused for that.
+				continue
+			}
+		case 6:
+			// One machine is cut off from all others for a while. It counts as
+			// the one of its role that is away.
+			role := []string{"edge", "store", "core"}[rnd.IntN(3)]
+			back(role)
+			id := pick(role)
+			s.Cut([]string{id}, s.Rest(id), true)
+			pause(5000)
+			s.Cut([]string{id}, s.Rest(id), false)
+			fired["cut "+role]++
+			time.Sleep(4 * time.Second)
+		case 7:
+			if st, a, err := s.Change(http.MethodPatch, "/v1/spec", map[string]any{"cooldown": map[string]any{"first_ms": 1000 + rnd.IntN(500)}}); err == nil && st == http.StatusOK {
+				fired["change"]++
+			} else if st == http.StatusConflict {
+				t.Errorf("a change without a version conflicts: %+v", a)
+			}
+		case 8:
+			back([]string{"edge", "store", "core"}[rnd.IntN(3)])
+		}
+		pause(2500)
+	}
+	for _, role := range []string{"core", "store", "edge"} {
+		back(role)
+	}
+}
