Disks that turn full or slow: told to operators, no new keys while nearly full

Fault 20 to 22 of TestFaults; TestNearlyFull. A store that was away or full is mended by digests from the others (over 50 keys in fault 22 before the next goes).

--- a/cmd/dtcore/main.go
+++ b/cmd/dtcore/main.go
@@ -13,7 +13,6 @@
 	"damsontiller/coord/core"
 	"damsontiller/coord/web"
 	"damsontiller/proto/spec"
-	"damsontiller/state/vault"
 	"damsontiller/xport/code"
 )
 
@@ -88,9 +87,6 @@
 		return code.New(code.BadFlag, "-move-rate: %d is less than 1", *rate)
 	}
 	cp := core.Params{Bootstrap: *boot, AckWait: *ack, MoveRate: *rate}
-	if p.Data == "" {
-		return code.New(code.BadFlag, "-data: missing")
-	}
 	if *ack <= 0 {
 		return code.New(code.BadFlag, "-ack-wait: %s is not positive", *ack)
 	}
@@ -109,7 +105,7 @@
 		return code.New(code.BadFlag, "-seeds: missing")
 	}
 	log := p.Log("dtcore")
-	v, err := vault.Open(vault.Params{Dir: p.Data, ID: p.ID, Role: "core", Log: func(m string, a ...any) { log.Warn(m, a...) }})
+	v, err := p.Vault("core", log)
 	if err != nil {
 		return err
 	}
@@ -129,6 +125,7 @@
 	c.Routes(e)
 	if p.Faults {
 		web.Faults(e, c.Peer.Cuts)
+		start.DiskFaults(e, v)
 	}
 	log.Info("serving", "listen", p.Listen, "http", p.HTTP, "spec", c.Realm.Now().Ver)
 	err = web.Serve(ctx, p.HTTP, e, 2*time.Second)
--- a/cmd/dtpass/main.go
+++ b/cmd/dtpass/main.go
@@ -15,7 +15,6 @@
 	"damsontiller/coord/web"
 	"damsontiller/pass/edge"
 	"damsontiller/pass/store"
-	"damsontiller/state/vault"
 	"damsontiller/xport/code"
 )
 
@@ -99,11 +98,8 @@
 }
 
 func runStore(p *start.Place) error {
-	if p.Data == "" {
-		return code.New(code.BadFlag, "-data: missing")
-	}
 	log := p.Log("dtpass")
-	v, err := vault.Open(vault.Params{Dir: p.Data, ID: p.ID, Role: "store", Log: func(m string, a ...any) { log.Warn(m, a...) }})
+	v, err := p.Vault("store", log)
 	if err != nil {
 		return err
 	}
@@ -125,6 +121,7 @@
 	})
 	if p.Faults {
 		web.Faults(x, s.Peer.Cuts)
+		start.DiskFaults(x, v)
 	}
 	log.Info("serving", "listen", p.Listen, "http", p.HTTP, "ident", v.Ident())
 	err = web.Serve(ctx, p.HTTP, x, time.Second)
--- a/cmd/start/start.go
+++ b/cmd/start/start.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"strings"
@@ -16,12 +17,15 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
 
 	"damsontiller/coord/licence"
 	"damsontiller/coord/news"
 	"damsontiller/coord/node"
+	"damsontiller/coord/web"
 	"damsontiller/proto/spec"
 	"damsontiller/proto/wire"
+	"damsontiller/state/vault"
 	"damsontiller/xport"
 	"damsontiller/xport/code"
 )
@@ -38,6 +42,7 @@
 	ID, Listen, HTTP, Zone, Data, Level string
 	Seeds                               string
 	Faults                              bool
+	MinFree                             int64
 	Renew, Lasts, Hold                  time.Duration
 	file                                string
 	fs                                  *flag.FlagSet
@@ -58,6 +63,7 @@
 	fs.DurationVar(&p.Renew, "renew", d.Renew, "time between renewals of the licence")
 	fs.DurationVar(&p.Lasts, "lasts", d.Lasts, "time a licence lasts")
 	fs.DurationVar(&p.Hold, "hold", d.Hold, "time that a node cut off from the core goes on")
+	fs.Int64Var(&p.MinFree, "min-free", 64, "MiB of free disk below which a store or core takes no new key")
 	fs.StringVar(&p.file, "params", "", "settings file: a JSON object of flag names and values; flags go before it")
 	return p
 }
@@ -142,6 +148,9 @@
 	if hclog.LevelFromString(p.Level) == hclog.NoLevel {
 		return flagErr("log", "%q is not a level", p.Level)
 	}
+	if p.MinFree < 0 {
+		return flagErr("min-free", "%d is negative", p.MinFree)
+	}
 	if p.Renew <= 0 || p.Lasts < 2*p.Renew {
 		return flagErr("lasts", "%s is less than twice -renew %s", p.Lasts, p.Renew)
 	}
@@ -173,6 +182,29 @@
 	}
 }
 
+// Vault opens the data folder.
+func (p *Place) Vault(role string, log hclog.Logger) (*vault.Vault, error) {
+	if p.Data == "" {
+		return nil, flagErr("data", "missing")
+	}
+	return vault.Open(vault.Params{Dir: p.Data, ID: p.ID, Role: role, MinFree: p.MinFree << 20, Log: func(m string, a ...any) { log.Warn(m, a...) }})
+}
+
+// DiskFaults adds the rehearsal kit's switch for a disk that is full or slow.
+func DiskFaults(e *echo.Echo, v *vault.Vault) {
+	e.POST("/debug/disk", func(c echo.Context) error {
+		q := struct {
+			Free    int64 `json:"free"`
+			DelayMs int64 `json:"delay_ms"`
+		}{Free: -1}
+		if err := c.Bind(&q); err != nil {
+			return web.Fail(c, code.New(code.BadJSON, "%w", err))
+		}
+		v.Pretend(q.Free, time.Duration(q.DelayMs)*time.Millisecond)
+		return c.NoContent(http.StatusOK)
+	})
+}
+
 // Signals gives a context that ends at the first interrupt; the second ends
 // the process.
 func Signals() (context.Context, context.CancelFunc) {
--- a/coord/core/core.go
+++ b/coord/core/core.go
@@ -26,6 +26,9 @@
 	Note(key string, b []byte) error
 	Noted(key string) ([]byte, error)
 	Notes(prefix string) (map[string][]byte, error)
+	// Look measures the disk; Status says what is wrong with it.
+	Look()
+	Status() string
 	Lister
 }
 
@@ -96,6 +99,7 @@
 func New(p Params, np node.Params, d Disk) (*Core, error) {
 	np.Keep = Keep(d.Note)
 	c := &Core{p: p, disk: d, acc: reg.NewAcceptor(d), Node: node.New(np)}
+	c.Lic.Status = d.Status
 	noted, err := d.Notes(licence.NotePrefix)
 	if err != nil {
 		return nil, err
@@ -168,6 +172,7 @@
 		return err
 	}
 	c.Run(ctx)
+	c.Go(ctx, func(ctx context.Context) { loop.Every(ctx, time.Second, nil, func(context.Context) { c.disk.Look() }) })
 	c.Go(ctx, func(ctx context.Context) { loop.Every(ctx, 500*time.Millisecond, nil, c.bind) })
 	c.Go(ctx, func(ctx context.Context) { loop.Every(ctx, 500*time.Millisecond, nil, c.move) })
 	return nil
--- a/kit/sim/faults_test.go
+++ b/kit/sim/faults_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -275,6 +277,47 @@
 			time.Sleep(2 * time.Second)
 		}
 	}},
+	{20, "a store's disk fills up", "tsehay", 24 * time.Second, func(t *testing.T, _ context.Context, s *sim.Sim) {
+		s.Disk("s1", 1000, 0)
+		if !sim.Until(5*time.Second, func() bool { return told(s, "s1: disk nearly full") }) {
+			t.Errorf("operators are not told: %v", s.Wrong())
+		}
+		time.Sleep(6 * time.Second)
+		s.Disk("s1", -1, 0)
+		// What it has not taken meanwhile is mended from the others.
+		before := s.Store("s1").Mended()
+		if !sim.Until(12*time.Second, func() bool { return s.Store("s1").Mended() > before }) {
+			t.Error("nothing was mended")
+		}
+	}},
+	{21, "a store's disk turns slow", "andina", 24 * time.Second, func(t *testing.T, _ context.Context, s *sim.Sim) {
+		s.Disk("s3", -1, 2*time.Second)
+		if !sim.Until(8*time.Second, func() bool { return told(s, "s3: disk slow") }) {
+			t.Errorf("operators are not told: %v", s.Wrong())
+		}
+		time.Sleep(6 * time.Second)
+		s.Disk("s3", -1, 0)
+	}},
+	{22, "a store that was away is mended", "andina", 40 * time.Second, func(t *testing.T, ctx context.Context, s *sim.Sim) {
+		s.Kill("s2")
+		time.Sleep(8 * time.Second)
+		up(t, ctx, s, "s2")
+		if !sim.Until(15*time.Second, func() bool { st := s.Store("s2"); return st != nil && st.Mended() > 50 }) {
+			t.Error("what it missed was not mended")
+		}
+		// Now the other two may go, one after the other: what was written while
+		// s2 was away must be readable from it.
+		s.Kill("s1")
+		time.Sleep(5 * time.Second)
+		up(t, ctx, s, "s1")
+		time.Sleep(6 * time.Second)
+		s.Kill("s3")
+	}},
+}
+
+// told: the operators' health page has a line that begins so.
+func told(s *sim.Sim, begin string) bool {
+	return slices.ContainsFunc(s.Wrong(), func(w string) bool { return strings.HasPrefix(w, begin) })
 }
 
 // TestFaults causes each failure in turn.
--- a/kit/sim/sim.go
+++ b/kit/sim/sim.go
@@ -57,6 +57,7 @@
 	edge  *edge.Edge
 	core  *core.Core
 	store *store.Store
+	vault *vault.Vault
 	ready chan struct{}
 }
 
@@ -225,10 +226,11 @@
 	var v *vault.Vault
 	if m.Role != "edge" {
 		var err error
-		if v, err = vault.Open(vault.Params{Dir: "/data", ID: m.ID, Role: m.Role, FS: m.fs}); err != nil {
+		if v, err = vault.Open(vault.Params{Dir: "/data", ID: m.ID, Role: m.Role, FS: m.fs, MinFree: 1 << 20}); err != nil {
 			return err
 		}
 		np.Self.Ident = v.Ident()
+		l.vault = v
 	}
 	var start func(context.Context) error
 	var n *node.Node
@@ -440,6 +442,25 @@
 	return nil
 }
 
+// Disk makes a machine's disk seem to have free bytes (-1: enough) and be slow.
+func (s *Sim) Disk(id string, free int64, delay time.Duration) {
+	s.mu.Lock()
+	l := s.Get(id).live
+	s.mu.Unlock()
+	l.vault.Pretend(free, delay)
+}
+
+// Wrong is what the operators' health page finds wrong.
+func (s *Sim) Wrong() []string {
+	var h struct {
+		Wrong []string `json:"wrong"`
+	}
+	if _, err := s.Operate(http.MethodGet, "/v1/health", nil, &h); err != nil {
+		return []string{err.Error()}
+	}
+	return h.Wrong
+}
+
 // Until waits, in simulated time, until ok says so.
 func Until(most time.Duration, ok func() bool) bool {
 	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
--- a/pass/store/store.go
+++ b/pass/store/store.go
@@ -37,6 +37,7 @@
 		v := s.Realm.Now()
 		return slices.Concat(v.Realm.Stores, v.NextStores)
 	})
+	s.Lic.Status = v.Status
 	s.Peer.On(&wire.Req_Put{}, s.put)
 	s.Peer.On(&wire.Req_Get{}, s.get)
 	s.Peer.On(&wire.Req_Sum{}, s.answerSums)
@@ -90,6 +91,7 @@
 			}
 		})
 	})
+	s.Go(ctx, func(ctx context.Context) { loop.Every(ctx, time.Second, nil, func(context.Context) { s.v.Look() }) })
 	s.Go(ctx, func(ctx context.Context) { loop.Every(ctx, time.Minute, nil, s.sweep) })
 	s.Go(ctx, func(ctx context.Context) { loop.Every(ctx, RepairEvery, nil, s.repair) })
 	return nil
--- a/proto/reg/acceptor.go
+++ b/proto/reg/acceptor.go
@@ -22,7 +22,7 @@
 type Acceptor struct {
 	disk  Disk
 	start time.Time
-	locks [64]sync.Mutex
+	locks [64]chan struct{} // full while somebody is at its keys
 	mu    sync.Mutex
 	since map[string]mark
 }
@@ -35,15 +35,19 @@
 
 // NewAcceptor makes an acceptor over d.
 func NewAcceptor(d Disk) *Acceptor {
-	return &Acceptor{disk: d, start: time.Now(), since: map[string]mark{}}
+	a := &Acceptor{disk: d, start: time.Now(), since: map[string]mark{}}
+	for i := range a.locks {
+		a.locks[i] = make(chan struct{}, 1)
+	}
+	return a
 }
 
 func (a *Acceptor) lock(key string) func() {
 	h := fnv.New32a()
 	h.Write([]byte(key))
-	m := &a.locks[h.Sum32()%uint32(len(a.locks))]
-	m.Lock()
-	return m.Unlock
+	l := a.locks[h.Sum32()%uint32(len(a.locks))]
+	l <- struct{}{}
+	return func() { <-l }
 }
 
 // Prep promises to take nothing below the ballot.
--- a/state/vault/blob.go
+++ b/state/vault/blob.go
@@ -33,6 +33,9 @@
 	if err != nil {
 		return err
 	}
+	if err := v.admit(blobPre + key); err != nil {
+		return err
+	}
 	now := v.Lived().Milliseconds()
 	g := &wire.Got{State: wire.Got_HERE, Val: val, KeepMs: keep.Milliseconds(), AgeMs: now}
 	if old != nil && old.State == wire.Got_HERE && old.AgeMs+old.KeepMs >= now+g.KeepMs {
--- /dev/null
+++ b/state/vault/room.go
@@ -0,0 +1,93 @@
+package vault
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"damsontiller/xport/code"
+)
+
+// Room watches how much room the disk has and how long it takes to sync.
+type room struct {
+	least int64        // free bytes below which no new key is taken
+	free  atomic.Int64 // at the last look; -1 where it can't be told
+	slow  atomic.Int64 // longest sync since the last look, nanoseconds
+	was   atomic.Int64 // the same, of the look before
+	// Faults of the rehearsal kit: pretended free bytes (-1: none pretended),
+	// and a delay of each sync.
+	fakeFree  atomic.Int64
+	fakeDelay atomic.Int64
+}
+
+// SlowSync is the time for one sync above which a disk is called slow.
+const SlowSync = 500 * time.Millisecond
+
+// Pretend makes the disk seem to have free bytes (-1: what it has) and every
+// sync take longer. Only the rehearsal kit uses it.
+func (v *Vault) Pretend(free int64, delay time.Duration) {
+	v.room.fakeFree.Store(free)
+	v.room.fakeDelay.Store(int64(delay))
+	v.Look()
+}
+
+// Look measures the room again; a duty calls it each second.
+func (v *Vault) Look() {
+	free := int64(-1)
+	if u, err := v.fs.GetDiskUsage(v.p.Dir); err == nil {
+		free = int64(min(u.AvailBytes, 1<<62))
+	}
+	if f := v.room.fakeFree.Load(); f >= 0 {
+		free = f
+	}
+	v.room.free.Store(free)
+	v.room.was.Store(v.room.slow.Swap(0))
+}
+
+// Full tells whether room is kept for what is here already.
+func (v *Vault) Full() bool {
+	f := v.room.free.Load()
+	return f >= 0 && f < v.room.least
+}
+
+// Status tells operators what is wrong with the disk; empty: nothing.
+func (v *Vault) Status() string {
+	var out []string
+	if v.Full() {
+		out = append(out, fmt.Sprintf("disk nearly full, %d MiB left, no new keys taken", v.room.free.Load()>>20))
+	}
+	if d := time.Duration(max(v.room.was.Load(), v.room.slow.Load())); d > SlowSync {
+		out = append(out, fmt.Sprintf("disk slow, a sync took %s", d.Round(10*time.Millisecond)))
+	}
+	return strings.Join(out, "; ")
+}
+
+// timed runs one synced write and notes how long it took.
+func (v *Vault) timed(f func() error) error {
+	at := time.Now()
+	if d := v.room.fakeDelay.Load(); d > 0 {
+		t := time.NewTimer(time.Duration(d))
+		<-t.C
+	}
+	err := f()
+	for d := int64(time.Since(at)); ; {
+		old := v.room.slow.Load()
+		if d <= old || v.room.slow.CompareAndSwap(old, d) {
+			return err
+		}
+	}
+}
+
+// Admit refuses a key that is new here while the disk is nearly full, so that
+// what is held already can still be synced.
+func (v *Vault) admit(key string) error {
+	if !v.Full() {
+		return nil
+	}
+	b, err := v.get(key)
+	if err == nil && b == nil {
+		err = code.New(code.DiskFull, "%d bytes are left", v.room.free.Load())
+	}
+	return err
+}
--- a/state/vault/vault.go
+++ b/state/vault/vault.go
@@ -40,7 +40,9 @@
 	FS   vfs.FS // nil means the real file system
 	// Grave is how long a past turn is remembered as past.
 	Grave time.Duration
-	Log   func(string, ...any)
+	// MinFree is the free bytes below which no new key is taken.
+	MinFree int64
+	Log     func(string, ...any)
 }
 
 // paper is the folder's identity file.
@@ -61,6 +63,8 @@
 	// identity is therefore a new one which must not vote before admission.
 	Fresh bool
 
+	room room
+
 	mu    sync.Mutex
 	base  time.Duration // lived before this start
 	start time.Time
@@ -73,6 +77,8 @@
 	if v.fs == nil {
 		v.fs = vfs.Default
 	}
+	v.room.least = p.MinFree
+	v.room.fakeFree.Store(-1)
 	if v.p.Grave == 0 {
 		v.p.Grave = 30 * 24 * time.Hour
 	}
@@ -118,6 +124,7 @@
 		v.db.Close()
 		return nil, err
 	}
+	v.Look()
 	if len(b) == 8 {
 		v.base = time.Duration(binary.BigEndian.Uint64(b))
 	}
@@ -250,7 +257,7 @@
 }
 
 func (v *Vault) put(key string, b []byte) error {
-	if err := v.db.Set([]byte(key), b, pebble.Sync); err != nil {
+	if err := v.timed(func() error { return v.db.Set([]byte(key), b, pebble.Sync) }); err != nil {
 		return code.New(code.DiskProblem, "write: %w", err)
 	}
 	return nil
@@ -270,7 +277,12 @@
 }
 
 // Save returns once the record is synced.
-func (v *Vault) Save(key string, r *wire.Rec) error { return v.put(regPre+key, wire.Encode(r)) }
+func (v *Vault) Save(key string, r *wire.Rec) error {
+	if err := v.admit(regPre + key); err != nil {
+		return err
+	}
+	return v.put(regPre+key, wire.Encode(r))
+}
 
 // Keys gives up to limit keys of a kind after a key, in order, with the ballots
 // of registers. Of blobs only those within their keeping time count.
--- a/state/vault/vault_test.go
+++ b/state/vault/vault_test.go
@@ -181,3 +181,48 @@
 		}
 	})
 }
+
+// TestNearlyFull: no new keys are taken, what is held goes on, and operators
+// are told; with room again all is as before.
+func TestNearlyFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v, err := vault.Open(vault.Params{Dir: "/data", ID: "s1", Role: "store", FS: vfs.NewMem(), MinFree: 1 << 20})
+		if err != nil {
+			t.Fatal(err)
+		}
+		save := func(k string) error { return v.Save(k, &wire.Rec{Promised: &wire.Ballot{N: 1}}) }
+		if err := save("old"); err != nil {
+			t.Fatal(err)
+		}
+		v.Pretend(1<<19, 0)
+		if err := save("new"); code.Of(err) != code.DiskFull {
+			t.Errorf("a new record: %v", err)
+		}
+		if err := v.PutBlob("new", nil, time.Hour); code.Of(err) != code.DiskFull {
+			t.Errorf("a new blob: %v", err)
+		}
+		if err := save("old"); err != nil {
+			t.Errorf("an old record: %v", err)
+		}
+		if v.Status() == "" {
+			t.Error("operators are not told")
+		}
+		v.Pretend(-1, 0)
+		if err := save("new"); err != nil || v.Status() != "" {
+			t.Errorf("with room again: %v, %q", err, v.Status())
+		}
+		v.Pretend(-1, time.Second)
+		if err := save("new"); err != nil || v.Status() == "" {
+			t.Errorf("a slow disk: %v, %q", err, v.Status())
+		}
+		v.Pretend(-1, 0)
+		v.Look()
+		v.Look()
+		if s := v.Status(); s != "" {
+			t.Errorf("a disk that is quick again: %q", s)
+		}
+		if err := v.Close(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
