A closed server has no handler at work; scenarios for every failure on real processes

Cause: the vault was closed while answers were still being worked out; pebble panics when read after its end. Test: TestCloseWaits, failing before.

--- a/kit/fleet/fleet.go
+++ b/kit/fleet/fleet.go
@@ -67,6 +67,7 @@
 	Platform *runner.Platform
 	Web      *http.Client
 	net      string
+	seeds    []string
 }
 
 // New lays out a fleet; Start starts it.
@@ -110,45 +111,54 @@
 	return 0, errors.New("no free loopback network")
 }
 
-func (f *Fleet) layOut() {
-	zones := []string{"a", "b", "c"}
-	var cores, stores, seeds []string
-	add := func(id, role string, z, host int) *Machine {
-		m := &Machine{ID: id, Role: role, Zone: zones[z], IP: fmt.Sprintf("%s%d.%d", f.net, z+1, host), bin: filepath.Join(f.P.Bin, "dtpass")}
-		m.Dir = filepath.Join(f.P.Dir, id)
-		f.Machines = append(f.Machines, m)
-		return m
+var zones = []string{"a", "b", "c"}
+
+func (f *Fleet) add(id, role string, z, host int) *Machine {
+	m := &Machine{ID: id, Role: role, Zone: zones[z], IP: fmt.Sprintf("%s%d.%d", f.net, z+1, host), bin: filepath.Join(f.P.Bin, "dtpass")}
+	m.Dir = filepath.Join(f.P.Dir, id)
+	if role == "core" {
+		m.bin = filepath.Join(f.P.Bin, "dtcore")
+	}
+	f.Machines = append(f.Machines, m)
+	return m
+}
+
+// args makes a machine's command line.
+func (f *Fleet) args(m *Machine) {
+	level := f.P.Log
+	if level == "" {
+		level = "info"
 	}
+	own := []string{"-id", m.ID, "-listen", m.Addr(), "-http", m.HTTP(), "-zone", m.Zone, "-seeds", strings.Join(f.seeds, ","), "-faults", "-log", level}
+	m.args = append([]string{"-role", m.Role}, own...)
+	if m.Role == "core" {
+		m.args = append([]string{"serve"}, own...)
+	}
+	if m.Role != "edge" {
+		m.args = append(m.args, "-data", filepath.Join(m.Dir, "data"))
+	}
+	m.args = append(m.args, f.P.Extra...)
+}
+
+func (f *Fleet) layOut() {
+	var cores, stores []string
 	for z := range 3 {
-		m := add(fmt.Sprintf("c%d", z+1), "core", z, 31)
-		m.bin = filepath.Join(f.P.Bin, "dtcore")
+		m := f.add(fmt.Sprintf("c%d", z+1), "core", z, 31)
 		cores = append(cores, fmt.Sprintf("%s=%s/%s", m.ID, m.Addr(), m.Zone))
-		seeds = append(seeds, m.Addr())
+		f.seeds = append(f.seeds, m.Addr())
 	}
 	for z := range 3 {
-		m := add(fmt.Sprintf("s%d", z+1), "store", z, 21)
+		m := f.add(fmt.Sprintf("s%d", z+1), "store", z, 21)
 		stores = append(stores, fmt.Sprintf("%s=%s/%s", m.ID, m.Addr(), m.Zone))
 	}
 	for i := range 6 {
-		add(fmt.Sprintf("e%d", i+1), "edge", i%3, 11+i/3)
-	}
-	level := f.P.Log
-	if level == "" {
-		level = "info"
+		f.add(fmt.Sprintf("e%d", i+1), "edge", i%3, 11+i/3)
 	}
 	for _, m := range f.Machines {
-		own := []string{"-id", m.ID, "-listen", m.Addr(), "-http", m.HTTP(), "-zone", m.Zone, "-seeds", strings.Join(seeds, ","), "-faults", "-log", level}
-		switch m.Role {
-		case "core":
-			m.args = append([]string{"serve"}, own...)
+		f.args(m)
+		if m.Role == "core" {
 			m.extra = []string{"-bootstrap", "-cores", strings.Join(cores, ","), "-stores", strings.Join(stores, ","), "-spec", filepath.Join(f.P.Dir, "spec.json")}
-		default:
-			m.args = append([]string{"-role", m.Role}, own...)
 		}
-		if m.Role != "edge" {
-			m.args = append(m.args, "-data", filepath.Join(m.Dir, "data"))
-		}
-		m.args = append(m.args, f.P.Extra...)
 	}
 	for i, r := range f.Spec.Runners {
 		p := runner.Params{Runner: r, Bears: f.P.Bears, Up: f.P.Up, Take: 40 * time.Millisecond, Seed: f.P.Seed*1000 + uint64(i)}
@@ -289,8 +299,9 @@
 	return 0, last
 }
 
-// Cut cuts machines off from others, both ways.
-func (f *Fleet) Cut(of []*Machine, from []*Machine) error {
+// Cut cuts machines off from others, both ways; also are told of no cut of
+// theirs, which joins them again.
+func (f *Fleet) Cut(of []*Machine, from []*Machine, also ...*Machine) error {
 	set := func(m *Machine, others []*Machine) error {
 		var addrs []string
 		for _, o := range others {
@@ -318,9 +329,35 @@
 			return err
 		}
 	}
+	for _, m := range also {
+		if err := set(m, nil); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// Disk makes a machine's disk seem to have free bytes (-1: what it has), and
+// each sync take longer.
+func (f *Fleet) Disk(m *Machine, free, delayMs int) error {
+	b, err := json.Marshal(map[string]int{"free": free, "delay_ms": delayMs})
+	if err != nil {
+		return err
+	}
+	r, err := f.Web.Post("http://"+m.HTTP()+"/debug/disk", "application/json", bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	return r.Body.Close()
+}
+
+// Add lays out and starts one more machine.
+func (f *Fleet) Add(id, role string, z, host int) (*Machine, error) {
+	m := f.add(id, role, z, host)
+	f.args(m)
+	return m, m.Start(false)
+}
+
 // Stop ends all that was started.
 func (f *Fleet) Stop() {
 	var wg sync.WaitGroup
--- a/kit/rig/scenarios.go
+++ b/kit/rig/scenarios.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
+	"damsontiller/kit/fleet"
+	"damsontiller/kit/judge"
 	"damsontiller/kit/runner"
 )
 
@@ -18,6 +21,17 @@
 	{Name: "zone", What: "a zone is emptied and refilled", Seconds: 14, Do: zone},
 	{Name: "restarts", What: "every machine is stopped and started in turn", Seconds: 40, Do: restarts},
 	{Name: "operators", What: "two operators race, many times", Seconds: 10, Do: operators},
+	{Name: "crowd", What: "six times the usual traffic for a while, urgent work among it", Seconds: 16, Do: crowd},
+	{Name: "runners", What: "runners are replaced one by one by fresh ones, and some crash", Seconds: 24, Do: runners},
+	{Name: "freeze", What: "the dealing edge, a store and a core machine freeze and wake", Seconds: 40, Do: freeze},
+	{Name: "cutcore", What: "the core is cut in two, then cut off whole", Seconds: 36, Do: cutCore},
+	{Name: "cutstore", What: "a store is cut off, then joins again", Seconds: 22, Do: cutStore},
+	{Name: "loststore", What: "a store loses its disk and is admitted anew", Seconds: 30, Do: lostStore},
+	{Name: "sets", What: "a store is added, another retired, a core replaced at a new address", Seconds: 50, Do: sets},
+	{Name: "disk", What: "a store's disk turns slow, another's fills up", Seconds: 26, Do: disk},
+	{Name: "bursts", What: "spec changes in bursts through all core machines", Seconds: 14, Do: bursts},
+	{Name: "zoneloss", What: "a whole zone is lost and comes back", Seconds: 40, Do: zoneLoss},
+	{Name: "fullstop", What: "everything goes down at once and comes up again", Seconds: 40, Do: fullStop},
 	{Name: "ci", What: "a little of each, for every commit", Seconds: 16, Do: ci},
 }
 
@@ -164,6 +178,255 @@
 	return nil
 }
 
+func crowd(ctx context.Context, r *Rig) error {
+	r.Crowd.Run(ctx, 6*time.Second, 6)
+	return nil
+}
+
+func runners(ctx context.Context, r *Rig) error {
+	for i, n := range r.F.Runners[:6] {
+		n.P.Up = true
+		if i%2 == 0 {
+			r.Drain(n.P.Name)
+			r.Wait(ctx, 3200*time.Millisecond)
+		}
+		if err := r.Return(n.P.Name); err != nil {
+			return err
+		}
+		r.Wait(ctx, time.Second)
+	}
+	return nil
+}
+
+func freeze(ctx context.Context, r *Rig) error {
+	for _, id := range []string{"e1", "s2", "c3"} {
+		if err := r.Freeze(id); err != nil {
+			return err
+		}
+		r.Wait(ctx, 7*time.Second)
+		if err := r.Thaw(id); err != nil {
+			return err
+		}
+		r.Wait(ctx, 3*time.Second)
+	}
+	return nil
+}
+
+func (r *Rig) cut(ctx context.Context, d time.Duration, ids ...string) error {
+	var of, rest []*fleet.Machine
+	for _, m := range r.F.Machines {
+		if slices.Contains(ids, m.ID) {
+			of = append(of, m)
+		} else {
+			rest = append(rest, m)
+		}
+	}
+	r.Note(judge.Hard, fmt.Sprintf("cut %v", ids), 0)
+	if err := r.F.Cut(of, rest); err != nil {
+		return err
+	}
+	r.Wait(ctx, d)
+	r.say("  joined %v", ids)
+	return r.F.Cut(of, nil, rest...)
+}
+
+func cutCore(ctx context.Context, r *Rig) error {
+	if err := r.cut(ctx, 8*time.Second, "c1"); err != nil {
+		return err
+	}
+	r.Wait(ctx, 3*time.Second)
+	if err := r.cut(ctx, 12*time.Second, "c1", "c2", "c3"); err != nil {
+		return err
+	}
+	r.Wait(ctx, 3*time.Second)
+	if err := r.Zone("b", true); err != nil {
+		return err
+	}
+	return r.Zone("b", false)
+}
+
+func cutStore(ctx context.Context, r *Rig) error {
+	return r.cut(ctx, 8*time.Second, "s3")
+}
+
+// admit orders a machine into a set and waits until the set stands.
+func (r *Rig) admit(ctx context.Context, set, id, place string) error {
+	return r.order(ctx, "/v1/sets/"+set+"/admit", map[string]string{"id": id, "for": place})
+}
+
+func (r *Rig) order(ctx context.Context, path string, body map[string]string) error {
+	var a ack
+	for end := time.Now().Add(15 * time.Second); ; r.Wait(ctx, 200*time.Millisecond) {
+		st, got, err := r.Change(http.MethodPost, path, body)
+		if err == nil && (st == http.StatusOK || st == http.StatusAccepted) {
+			break
+		}
+		// It may still be on its way to its licence.
+		if a = got; time.Now().After(end) || ctx.Err() != nil {
+			return fmt.Errorf("%s %v: status %d, %+v, %v", path, body, st, a, err)
+		}
+	}
+	at := time.Now()
+	for end := at.Add(60 * time.Second); ; r.Wait(ctx, 200*time.Millisecond) {
+		var s struct {
+			NextCores  []any `json:"next_cores"`
+			NextStores []any `json:"next_stores"`
+		}
+		if st, err := r.F.Operate(http.MethodGet, "/v1/sets", nil, &s); err == nil && st == http.StatusOK && len(s.NextCores)+len(s.NextStores) == 0 {
+			r.say("  %s %v: the set stands after %s", path, body, time.Since(at).Round(10*time.Millisecond))
+			return nil
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return fmt.Errorf("%s %v: the set is still changing", path, body)
+		}
+	}
+}
+
+func lostStore(ctx context.Context, r *Rig) error {
+	if err := r.Kill("s2"); err != nil {
+		return err
+	}
+	if err := r.F.Get("s2").Wipe(); err != nil {
+		return err
+	}
+	r.Wait(ctx, 2*time.Second)
+	if err := r.Start("s2"); err != nil {
+		return err
+	}
+	if err := r.admit(ctx, "stores", "s2", "s2"); err != nil {
+		return err
+	}
+	// With its copies back another store may go.
+	if err := r.Kill("s1"); err != nil {
+		return err
+	}
+	r.Wait(ctx, 3*time.Second)
+	return r.Start("s1")
+}
+
+func sets(ctx context.Context, r *Rig) error {
+	if _, err := r.F.Add("s4", "store", 0, 22); err != nil {
+		return err
+	}
+	if err := r.admit(ctx, "stores", "s4", ""); err != nil {
+		return err
+	}
+	if err := r.order(ctx, "/v1/sets/stores/retire", map[string]string{"id": "s1"}); err != nil {
+		return err
+	}
+	if err := r.Quit("s1"); err != nil {
+		return err
+	}
+	if err := r.Kill("c3"); err != nil {
+		return err
+	}
+	if _, err := r.F.Add("c4", "core", 2, 32); err != nil {
+		return err
+	}
+	if err := r.admit(ctx, "cores", "c4", "c3"); err != nil {
+		return err
+	}
+	if err := r.Kill("c1"); err != nil {
+		return err
+	}
+	r.Wait(ctx, 2*time.Second)
+	if err := r.Zone("a", true); err != nil {
+		return err
+	}
+	return r.Zone("a", false)
+}
+
+func disk(ctx context.Context, r *Rig) error {
+	pretend := func(id string, free, delay int) error { return r.F.Disk(r.F.Get(id), free, delay) }
+	if err := pretend("s3", -1, 800); err != nil {
+		return err
+	}
+	r.Wait(ctx, 6*time.Second)
+	if err := pretend("s3", -1, 0); err != nil {
+		return err
+	}
+	if err := pretend("s1", 1000, 0); err != nil {
+		return err
+	}
+	r.Wait(ctx, 6*time.Second)
+	return pretend("s1", -1, 0)
+}
+
+func bursts(ctx context.Context, r *Rig) error {
+	errs := make(chan error, 30)
+	for i := range 30 {
+		go func() {
+			st, a, err := r.Change(http.MethodPatch, "/v1/spec", map[string]any{"cooldown": map[string]any{"first_ms": 1000 + i}})
+			if err == nil && st != http.StatusOK {
+				err = fmt.Errorf("burst: status %d, %+v", st, a)
+			}
+			errs <- err
+		}()
+		r.Wait(ctx, 30*time.Millisecond)
+	}
+	for range 30 {
+		if err := <-errs; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func zoneLoss(ctx context.Context, r *Rig) error {
+	var gone []*fleet.Machine
+	for _, m := range r.F.Machines {
+		if m.Zone == "a" {
+			gone = append(gone, m)
+		}
+	}
+	r.Note(judge.Hard, "zone a lost", 0)
+	for _, m := range gone {
+		if !m.Kill() {
+			return fmt.Errorf("%s did not run", m.ID)
+		}
+	}
+	for _, n := range r.F.Runners {
+		if n.P.Zone == "a" {
+			n.Stop()
+		}
+	}
+	r.Wait(ctx, 12*time.Second)
+	for _, n := range r.F.Runners {
+		if n.P.Zone == "a" {
+			if err := r.Return(n.P.Name); err != nil {
+				return err
+			}
+		}
+	}
+	for _, m := range gone {
+		if err := r.Start(m.ID); err != nil {
+			return err
+		}
+	}
+	return r.healthy(ctx, 30*time.Second)
+}
+
+func fullStop(ctx context.Context, r *Rig) error {
+	if err := r.Zone("c", true); err != nil {
+		return err
+	}
+	for _, m := range r.F.Machines {
+		m.Kill()
+	}
+	r.Wait(ctx, 2*time.Second)
+	for _, m := range r.F.Machines {
+		if err := r.Start(m.ID); err != nil {
+			return err
+		}
+	}
+	// The time of the failure is when all that is needed runs again.
+	r.Note(judge.Hard, "everything down, started again", 0)
+	if err := r.healthy(ctx, 30*time.Second); err != nil {
+		return err
+	}
+	return r.Zone("c", false)
+}
+
 func ci(ctx context.Context, r *Rig) error {
 	for i, n := range r.F.Runners {
 		n.Give([]runner.Order{runner.Refuse, runner.Raise, runner.Lose, runner.Cut, runner.Mix, runner.RefuseSecs}[i%6])
--- a/xport/serve.go
+++ b/xport/serve.go
@@ -20,6 +20,8 @@
 	room chan struct{}
 	mu   sync.Mutex
 	open map[net.Conn]func(error)
+	done bool
+	wg   sync.WaitGroup // handlers at work
 	bad  func(error)
 }
 
@@ -30,10 +32,12 @@
 	return s
 }
 
-// Close stops taking calls and ends every connection.
+// Close stops taking calls, ends every connection, and returns once no handler
+// is at work any more.
 func (s *Server) Close() {
 	s.ln.Close()
 	s.mu.Lock()
+	s.done = true
 	ends := make([]func(error), 0, len(s.open))
 	for _, end := range s.open {
 		ends = append(ends, end)
@@ -42,6 +46,17 @@
 	for _, end := range ends {
 		end(net.ErrClosed)
 	}
+	s.wg.Wait()
+}
+
+// begin counts a handler in, unless the server has been closed.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.done {
+		s.wg.Add(1)
+	}
+	return !s.done
 }
 
 func (s *Server) accept(ctx context.Context) {
@@ -68,8 +83,13 @@
 		})
 	}
 	s.mu.Lock()
+	late := s.done
 	s.open[c] = end
 	s.mu.Unlock()
+	if late {
+		end(net.ErrClosed)
+		return
+	}
 	go writeAll(c, out, ctx.Done(), end)
 	r := bufio.NewReaderSize(c, 64<<10)
 	for {
@@ -92,7 +112,13 @@
 		}
 		// Bounded: past the limit the connection itself pushes back.
 		s.room <- struct{}{}
+		if !s.begin() {
+			<-s.room
+			end(net.ErrClosed)
+			return
+		}
 		go func() {
+			defer s.wg.Done()
 			defer func() { <-s.room }()
 			a := s.h(ctx, f.body)
 			if a == nil {
--- a/xport/xport_test.go
+++ b/xport/xport_test.go
@@ -162,3 +162,34 @@
 		}
 	}
 }
+
+// TestCloseWaits: once a server is closed no handler runs any more, so that
+// what handlers use may be closed as well.
+func TestCloseWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(1)
+		ln, err := n.Host("s").Listen("s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var running atomic.Int64
+		s := xport.Serve(t.Context(), ln, xport.DefaultParams, func(_ context.Context, b []byte) []byte {
+			running.Add(1)
+			defer running.Add(-1)
+			time.Sleep(time.Second)
+			return b
+		}, func(error) {})
+		h := xport.NewHub(n.Host("c"), xport.DefaultParams, nil)
+		defer h.Close()
+		for range 3 {
+			go func() { _, _ = h.Call(t.Context(), "s", nil) }()
+		}
+		synctest.Wait()
+		if running.Load() != 3 {
+			t.Fatalf("%d handlers run, want 3", running.Load())
+		}
+		if s.Close(); running.Load() != 0 {
+			t.Errorf("closed while %d handlers run", running.Load())
+		}
+	})
+}
