--- a/kit/fleet/fleet.go
+++ b/kit/fleet/fleet.go
@@ -207,6 +207,9 @@
 				}
 			}
 		}
+		if missing == "" {
+			missing = f.unhealthy()
+		}
 		if missing == "" {
 			return nil
 		}
@@ -216,6 +219,22 @@
 	}
 }
 
+// unhealthy is a machine of the sets that is not bound yet, if there is one.
+func (f *Fleet) unhealthy() string {
+	var h struct {
+		Wrong []string `json:"wrong"`
+	}
+	if _, err := f.Operate(http.MethodGet, "/v1/health", nil, &h); err != nil {
+		return err.Error()
+	}
+	for _, w := range h.Wrong {
+		if strings.HasSuffix(w, "is not bound yet") {
+			return w
+		}
+	}
+	return ""
+}
+
 // Status is an edge's own word.
 type Status struct {
 	ID     string           `json:"id"`
--- a/kit/runner/runner.go
+++ b/kit/runner/runner.go
@@ -382,3 +382,12 @@
 	context.AfterFunc(ctx, func() { _ = p.srv.Close() })
 	return nil
 }
+
+// Forget takes back the next order.
+func (r *Runner) Forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.orders) > 0 {
+		r.orders = r.orders[1:]
+	}
+}
--- /dev/null
+++ b/kit/sim/ops_test.go
@@ -0,0 +1,328 @@
+package sim_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damsontiller/coord/web"
+	"damsontiller/kit/runner"
+	"damsontiller/kit/sim"
+	"damsontiller/pass/door"
+	"damsontiller/xport/code"
+)
+
+// quiet runs a fleet without traffic of its own.
+func quiet(t *testing.T, do func(ctx context.Context, s *sim.Sim)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		s, err := sim.New(sim.Params{Deploy: "../../deploy/andina", Seed: 1, Edges: 6})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+		do(ctx, s)
+		stop()
+		s.Stop()
+	})
+}
+
+type said struct {
+	status int
+	head   http.Header
+	took   time.Duration
+	web.Problem
+	Text string `json:"text"`
+	Turn string `json:"turn"`
+}
+
+func ask(t *testing.T, s *sim.Sim, edge, path, body string, head map[string]string) said {
+	t.Helper()
+	q, err := http.NewRequest(http.MethodPost, "http://"+s.Get(edge).HTTP+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set(door.HProgram, "reel/1")
+	q.Header.Set(door.HLeft, "60")
+	for k, v := range head {
+		q.Header.Set(k, v)
+	}
+	at := time.Now()
+	r, err := s.RoundTrip(q)
+	if err != nil {
+		t.Errorf("%s: %v", edge, err)
+		return said{}
+	}
+	got := said{status: r.StatusCode, head: r.Header, took: time.Since(at)}
+	if err := json.NewDecoder(r.Body).Decode(&got); err != nil {
+		t.Errorf("%s: %v", edge, err)
+	}
+	return got
+}
+
+func runs(s *sim.Sim) (ran, calls int) {
+	for _, r := range s.Runners {
+		for _, e := range r.Ledger() {
+			calls++
+			if e.Ran {
+				ran++
+			}
+		}
+	}
+	return ran, calls
+}
+
+// TestSameKey: one keyed job asked at every edge at once runs once; whoever is
+// not given its result is told that it may have run.
+func TestSameKey(t *testing.T) {
+	quiet(t, func(_ context.Context, s *sim.Sim) {
+		for round := range 5 {
+			key := map[string]string{door.HKey: fmt.Sprint("k", round)}
+			got := make([]said, 6)
+			var wg sync.WaitGroup
+			for i := range got {
+				wg.Go(func() {
+					got[i] = ask(t, s, fmt.Sprintf("e%d", i+1), "/v1/calls/assets", `{"args":{"do":"work:x;"}}`, key)
+				})
+			}
+			wg.Wait()
+			ok := 0
+			for _, g := range got {
+				switch {
+				case g.status == http.StatusOK:
+					ok++
+				case g.Ran != "unknown":
+					t.Errorf("round %d: told %d %s, ran %q", round, g.Code, g.Name, g.Ran)
+				}
+			}
+			if ran, _ := runs(s); ran != round+1 || ok == 0 {
+				t.Errorf("round %d: %d runs in all, %d answers", round, ran, ok)
+			}
+			// Asked again later, everyone gets the one result.
+			a, b := ask(t, s, "e1", "/v1/calls/assets", `{"args":{"do":"work:x;"}}`, key), ask(t, s, "e6", "/v1/calls/assets", `{"args":{"do":"work:x;"}}`, key)
+			if a.status != http.StatusOK || a.Job != b.Job || a.Text != b.Text {
+				t.Errorf("round %d: %+v and %+v", round, a, b)
+			}
+			if c := ask(t, s, "e2", "/v1/calls/assets", `{"args":{"do":"work:y;"}}`, key); c.Code != int(code.KeyReused) {
+				t.Errorf("the key with another body: %+v", c)
+			}
+		}
+	})
+}
+
+// TestLostKeyed: a keyed job whose answer is lost is never passed again.
+func TestLostKeyed(t *testing.T) {
+	quiet(t, func(_ context.Context, s *sim.Sim) {
+		for _, o := range []runner.Order{runner.Lose, runner.Cut, runner.Mix} {
+			for _, r := range s.Runners {
+				r.Give(o)
+			}
+			key := map[string]string{door.HKey: "k" + string(o)}
+			before, _ := runs(s)
+			for i := range 4 {
+				g := ask(t, s, fmt.Sprintf("e%d", i+1), "/v1/calls/assets", `{"args":{"do":"work:x;"}}`, key)
+				if g.Ran != "unknown" {
+					t.Errorf("%s, asking %d: %+v", o, i, g)
+				}
+			}
+			if ran, _ := runs(s); ran != before+1 {
+				t.Errorf("%s: ran %d times", o, ran-before)
+			}
+		}
+	})
+}
+
+// TestSharedCooldown: one worker's refusal holds back all; a wait that fits is
+// waited out, one that does not is told at once with the time to come back.
+func TestSharedCooldown(t *testing.T) {
+	quiet(t, func(_ context.Context, s *sim.Sim) {
+		for _, r := range s.Runners {
+			if r.P.Route == "assets" {
+				r.Give(runner.RefuseDate) // 3 s, by a clock an hour wrong
+			}
+		}
+		body := `{"args":{"do":"work:x;"}}`
+		a := ask(t, s, "e1", "/v1/calls/assets", body, nil)
+		if a.Code != int(code.RunnerDrop) || a.status != http.StatusTooManyRequests || a.head.Get("Retry-After") != "3" {
+			t.Errorf("the refusal itself: %+v", a)
+		}
+		_, calls := runs(s)
+		for i := range 6 {
+			g := ask(t, s, fmt.Sprintf("e%d", i+1), "/v1/calls/assets", body, map[string]string{door.HWait: "1"})
+			if g.Code != int(code.Cooling) || g.head.Get("Retry-After") != "3" || g.NotBefore == "" || g.took > 200*time.Millisecond {
+				t.Errorf("e%d: %+v after %s", i+1, g, g.took)
+			}
+		}
+		if _, n := runs(s); n != calls {
+			t.Errorf("%d calls within the cooldown", n-calls)
+		}
+		// Program time that is shorter than the wait counts like a caller's.
+		if g := ask(t, s, "e3", "/v1/calls/assets", body, map[string]string{door.HLeft: "2", door.HWait: "30"}); g.Code != int(code.Cooling) || g.took > 200*time.Millisecond {
+			t.Errorf("with 2 s left: %+v after %s", g, g.took)
+		}
+		for _, r := range s.Runners {
+			for r.Undone() > 0 {
+				r.Forget()
+			}
+		}
+		if g := ask(t, s, "e4", "/v1/calls/assets", body, map[string]string{door.HWait: "10"}); g.status != http.StatusOK || g.took < 2*time.Second || g.took > 4*time.Second {
+			t.Errorf("with time to wait: %+v after %s", g, g.took)
+		}
+	})
+}
+
+// TestTierAway: without a majority of stores nothing is called, and it is said.
+func TestTierAway(t *testing.T) {
+	quiet(t, func(_ context.Context, s *sim.Sim) {
+		s.Kill("s1")
+		s.Kill("s2")
+		_, calls := runs(s)
+		for _, head := range []map[string]string{nil, {door.HKey: "k"}} {
+			g := ask(t, s, "e1", "/v1/calls/assets", `{"args":{}}`, head)
+			if g.Code != int(code.TierAway) || g.Ran != "no" || g.head.Get("Retry-After") == "" {
+				t.Errorf("%v: %+v", head, g)
+			}
+		}
+		if _, n := runs(s); n != calls {
+			t.Errorf("%d calls without a look at the cooldown", n-calls)
+		}
+	})
+}
+
+// TestBudget: turns at all edges at once stay within one budget, and then are
+// told that it is spent.
+func TestBudget(t *testing.T) {
+	quiet(t, func(_ context.Context, s *sim.Sim) {
+		head := map[string]string{door.HProgram: "tagging/x"} // 600
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				ask(t, s, fmt.Sprintf("e%d", i%6+1), "/v1/turns", `{"conversation":"tagging","words":"work:x;","max_output":70}`, head)
+			})
+		}
+		wg.Wait()
+		spent := int64(0)
+		for _, r := range s.Runners {
+			for _, e := range r.Ledger() {
+				spent += e.Output
+			}
+		}
+		if spent > 600 || spent == 0 {
+			t.Errorf("%d put out of a budget of 600", spent)
+		}
+		for range 20 {
+			if g := ask(t, s, "e1", "/v1/turns", `{"conversation":"tagging","words":"work:x;","max_output":600}`, head); g.Code == int(code.BudgetSpent) {
+				return
+			}
+		}
+		t.Error("never told that the budget is spent")
+	})
+}
+
+// TestTurns: a conversation goes on at any edge; unknown and past are told
+// apart; another program's turn is unknown.
+func TestTurns(t *testing.T) {
+	quiet(t, func(_ context.Context, s *sim.Sim) {
+		body := func(follows string) string {
+			return fmt.Sprintf(`{"conversation":"tagging","words":"work:x;","max_output":5,"follows":%q}`, follows)
+		}
+		a := ask(t, s, "e1", "/v1/turns", body(""), nil)
+		b := ask(t, s, "e5", "/v1/turns", body(a.Turn), nil)
+		if a.Turn == "" || b.Turn == "" || !strings.Contains(b.Text, "history:1-") {
+			t.Fatalf("%+v %+v", a, b)
+		}
+		if g := ask(t, s, "e2", "/v1/turns", body("nobody-1"), nil); g.Code != int(code.NoTurn) {
+			t.Errorf("unknown: %+v", g)
+		}
+		if g := ask(t, s, "e2", "/v1/turns", body(a.Turn), map[string]string{door.HProgram: "reel/2"}); g.Code != int(code.NoTurn) {
+			t.Errorf("another program's: %+v", g)
+		}
+		// Shortening the keeping time does not shorten what was promised.
+		if st, a, err := s.Change(http.MethodPatch, "/v1/spec", map[string]any{"keeping": []map[string]any{{"class": "*", "keep_s": 1}}}); err != nil || st != http.StatusOK {
+			t.Fatalf("%d %+v %v", st, a, err)
+		}
+		time.Sleep(59 * time.Minute)
+		if g := ask(t, s, "e3", "/v1/turns", body(b.Turn), nil); g.status != http.StatusOK || !strings.Contains(g.Text, "history:2-") {
+			t.Errorf("within the hour: %+v", g)
+		}
+		time.Sleep(2 * time.Minute)
+		if g := ask(t, s, "e3", "/v1/turns", body(b.Turn), nil); g.Code != int(code.PastKeeping) {
+			t.Errorf("past the hour: %+v", g)
+		}
+	})
+}
+
+// TestOperators: bad orders are refused by number and change nothing; of two
+// that expect the same version one wins.
+func TestOperators(t *testing.T) {
+	quiet(t, func(_ context.Context, s *sim.Sim) {
+		var now struct {
+			Version uint64          `json:"version"`
+			Spec    json.RawMessage `json:"spec"`
+		}
+		read := func() uint64 {
+			if _, err := s.Operate(http.MethodGet, "/v1/spec", nil, &now); err != nil {
+				t.Fatal(err)
+			}
+			return now.Version
+		}
+		ver := read()
+		for _, tc := range []struct {
+			method, path string
+			body         any
+			want         code.Code
+		}{
+			{http.MethodPut, "/v1/spec", map[string]any{"expect": ver - 1, "spec": now.Spec}, code.SpecConflict},
+			{http.MethodPut, "/v1/spec", map[string]any{"spec": now.Spec}, code.BadField},
+			{http.MethodPut, "/v1/spec", map[string]any{"expect": ver, "spec": map[string]any{}}, code.BadSpec},
+			{http.MethodPut, "/v1/spec", "x", code.BadJSON},
+			{http.MethodPatch, "/v1/spec", map[string]any{"colour": 1}, code.UnknownField},
+			{http.MethodPatch, "/v1/spec", map[string]any{"expect": ver + 7, "empty_zones": []string{}}, code.SpecConflict},
+			{http.MethodPatch, "/v1/spec", map[string]any{"runners": []any{}}, code.BadSpec},
+			{http.MethodPatch, "/v1/spec", map[string]any{"empty_zones": []string{"a", "b", "c"}}, code.LastZone},
+			{http.MethodPost, "/v1/zones/z/empty", nil, code.NoZone},
+			{http.MethodGet, "/v1/spec/versions/99", nil, code.NoVersion},
+			{http.MethodGet, "/v1/spec/versions/x", nil, code.BadField},
+			{http.MethodPost, "/v1/sets/edges/admit", map[string]any{"id": "e1"}, code.NoPath},
+			{http.MethodPost, "/v1/sets/stores/admit", map[string]any{"idd": "e1"}, code.UnknownField},
+			{http.MethodPost, "/v1/sets/stores/abandon", map[string]any{}, code.BadField},
+			{http.MethodPost, "/v1/nothing", nil, code.NoPath},
+		} {
+			var p web.Problem
+			st, err := s.Operate(tc.method, tc.path, tc.body, &p)
+			if err != nil || code.Code(p.Code) != tc.want || st != tc.want.Status() || p.Problem == "" {
+				t.Errorf("%s %s %v: %d %+v %v, want %d", tc.method, tc.path, tc.body, st, p, err, tc.want)
+			}
+			if tc.want == code.SpecConflict && p.Version != ver {
+				t.Errorf("%s: told version %d, %d is in force", tc.path, p.Version, ver)
+			}
+		}
+		if v := read(); v != ver {
+			t.Errorf("bad orders moved the version from %d to %d", ver, v)
+		}
+		for range 5 {
+			ver = read()
+			res := make([]int, 2)
+			var wg sync.WaitGroup
+			for i := range res {
+				wg.Go(func() {
+					res[i], _ = s.OperateAt(i, http.MethodPut, "/v1/spec", map[string]any{"expect": ver, "spec": now.Spec}, nil)
+				})
+			}
+			wg.Wait()
+			if res[0]+res[1] != http.StatusOK+http.StatusConflict {
+				t.Errorf("two racing operators got %v", res)
+			}
+		}
+	})
+}
--- a/pass/door/door.go
+++ b/pass/door/door.go
@@ -137,6 +137,10 @@
 		d.Log.Error("problem without a number", "err", a.Err)
 	}
 	status := code.Code(p.Code).Status()
+	if a.Wait == 0 && status == http.StatusServiceUnavailable {
+		// Whoever is sent away is told when to come back.
+		a.Wait = time.Second
+	}
 	if a.Wait > 0 {
 		// Callers read whole seconds and nothing finer: round up, so that
 		// nobody is back too soon.
