After a cooldown few go first: one call a node, doubled with each good answer

Cause: when a cooldown ended, each edge let its whole backlog go at once, and all of it was refused again in one round trip.

--- a/pass/backlog/backlog.go
+++ b/pass/backlog/backlog.go
@@ -146,10 +146,10 @@
 
 // Do is the policy: it waits for a slot, and gives it back only once the rest
 // of the way, a cooldown's installing included, is done.
-func (b *Backlog) Do(c *job.Ctx, next job.Next) job.Answer {
+func (b *Backlog) Do(c *job.Ctx, next job.Next) (a job.Answer) {
 	if b.n.Add(1) > int64(b.p.Most) {
 		b.n.Add(-1)
-		a := job.Bad(code.BacklogFull, "%d jobs wait already", b.p.Most)
+		a = job.Bad(code.BacklogFull, "%d jobs wait already", b.p.Most)
 		a.Wait = time.Second
 		return a
 	}
@@ -164,8 +164,10 @@
 	if !e.ok {
 		return e.err
 	}
+	r := c.Runner
 	defer func() {
-		b.box.Give(c.Runner.Ix, e.kind)
+		b.dir.Leave(r, a)
+		b.box.Give(r.Ix, e.kind)
 		b.Poke()
 	}()
 	return next(c)
--- a/pass/cool/cool.go
+++ b/pass/cool/cool.go
@@ -47,6 +47,8 @@
 	// until is what this node has seen, on its own clock. It only ever saves
 	// a look: a deadline seen is in force, one not seen proves nothing.
 	until map[string]time.Time
+	// gates let few through first once a cooldown has ended.
+	gates map[string]*gate
 	// kept are refusals that could not be written yet.
 	kept map[string]time.Time
 	seq  uint64
@@ -56,7 +58,7 @@
 
 // New makes the desk and listens for what others spread.
 func New(p Params, n *node.Node, t *tier.Tier) *Desk {
-	d := &Desk{p: p, n: n, t: t, kick: loop.NewKick(), until: map[string]time.Time{}, kept: map[string]time.Time{}}
+	d := &Desk{p: p, n: n, t: t, kick: loop.NewKick(), until: map[string]time.Time{}, gates: map[string]*gate{}, kept: map[string]time.Time{}}
 	n.Board.On("cool", d.hear)
 	return d
 }
@@ -113,12 +115,60 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	g := d.gates[key]
+	if g == nil {
+		g = &gate{}
+		d.gates[key] = g
+	}
+	g.most = 1
 	// A merge never shortens.
 	if u := time.Now().Add(w); u.After(d.until[key]) {
 		d.until[key] = u
 	}
 }
 
+// gate bounds the calls of one key that this node has under way at once, after
+// a cooldown: one at first, twice as many with each good answer. A whole backlog
+// let loose at once would only be refused again.
+type gate struct{ most, busy int }
+
+// gateOpen is where a gate is wide enough to be none.
+const gateOpen = 16
+
+// Free tells whether a call of the key may be made as far as this node knows.
+func (d *Desk) Free(key string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.gates[key]
+	return g == nil || g.busy < g.most
+}
+
+// Enter counts a call in that Free let through, Leave counts it out.
+func (d *Desk) Enter(key string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if g := d.gates[key]; g != nil {
+		g.busy++
+	}
+}
+
+// Leave widens the gate after a good answer.
+func (d *Desk) Leave(key string, good bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.gates[key]
+	if g == nil {
+		return
+	}
+	// Calls from before the gate were never counted in.
+	g.busy = max(g.busy-1, 0)
+	if good && time.Now().After(d.until[key]) {
+		if g.most *= 2; g.most > gateOpen {
+			delete(d.gates, key)
+		}
+	}
+}
+
 // Look reads the deadline at a majority. Without one there is no answer, and
 // the call must not be made.
 func (d *Desk) Look(ctx context.Context, key string) (time.Duration, error) {
--- a/pass/elect/elect.go
+++ b/pass/elect/elect.go
@@ -154,7 +154,7 @@
 		if least < 0 || w < least {
 			least = w
 		}
-		if w > 0 {
+		if w > 0 || !d.desk.Free(e.cool) {
 			continue
 		}
 		free, used := d.box.Free(ix, c.Urgent)
@@ -168,12 +168,16 @@
 	if best >= 0 {
 		if k, ok = d.box.Take(best, c.Urgent); ok {
 			e := d.all[best]
+			d.desk.Enter(e.cool)
 			return job.Runner{Ix: best, Name: e.Name, Addr: e.Addr, Cool: e.cool}, k, true, 0
 		}
 	}
 	return job.Runner{}, 0, false, max(least, 0)
 }
 
+// Leave takes note of how an elected runner's call ended.
+func (d *Dir) Leave(r job.Runner, a job.Answer) { d.desk.Leave(r.Cool, a.Err == nil) }
+
 // score: a held prefix saves the whole prefill and counts most; then room;
 // then the zone.
 func (d *Dir) score(e *entry, c *job.Ctx, free, used int) float64 {
