--- /dev/null
+++ b/coord/duty/duty_test.go
@@ -0,0 +1,49 @@
+package duty_test
+
+import (
+	"testing"
+
+	"damsontiller/coord/duty"
+	"damsontiller/coord/realm"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+)
+
+// TestFence: an epoch below the highest seen is refused, wherever that was seen.
+func TestFence(t *testing.T) {
+	var f duty.Fence
+	if err := f.Pass(3); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Pass(3); err != nil {
+		t.Errorf("the same holder again: %v", err)
+	}
+	if err := f.Pass(2); code.Of(err) != code.OldEpoch {
+		t.Errorf("an old epoch: %v", err)
+	}
+	f.See(7)
+	if err := f.Pass(6); code.Of(err) != code.OldEpoch || f.Top() != 7 {
+		t.Errorf("older than one heard of: %v, top %d", err, f.Top())
+	}
+	f.See(1)
+	if f.Top() != 7 {
+		t.Errorf("slipped back to %d", f.Top())
+	}
+}
+
+// TestOrder: live edges by id; those of emptied zones last.
+func TestOrder(t *testing.T) {
+	v := &realm.View{}
+	v.Spec = spec.Spec{EmptyZones: []string{"a"}}
+	got := ""
+	for _, m := range duty.Order(v, []*wire.Member{
+		{Id: "e3", Role: "edge", Zone: "c", Live: true}, {Id: "e1", Role: "edge", Zone: "a", Live: true}, {Id: "e2", Role: "edge", Zone: "b", Live: true},
+		{Id: "e0", Role: "edge", Zone: "b"}, {Id: "c1", Role: "core", Zone: "b", Live: true},
+	}) {
+		got += m.Id + " "
+	}
+	if got != "e2 e3 e1 " {
+		t.Errorf("order %q", got)
+	}
+}
--- /dev/null
+++ b/coord/peer/peer_test.go
@@ -0,0 +1,64 @@
+package peer_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"damsontiller/coord/peer"
+	"damsontiller/proto/wire"
+	"damsontiller/xport"
+	"damsontiller/xport/code"
+	"damsontiller/xport/memnet"
+)
+
+// TestNeighbours: a message of a later version, with fields nobody here knows,
+// is understood; one too old, for another identity or of an unserved kind is
+// refused by number.
+func TestNeighbours(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(1)
+		a := peer.New(&wire.Member{Id: "a", Addr: "a", Role: "core", Ident: "ia"}, n.Host("a"), xport.DefaultParams, hclog.NewNullLogger())
+		a.On(&wire.Req_Hello{}, func(context.Context, *wire.Req) (*wire.Resp, error) { return nil, nil })
+		if err := a.Serve(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		defer a.Close()
+		h := xport.NewHub(n.Host("b"), xport.DefaultParams, nil)
+		defer h.Close()
+		send := func(q *wire.Req, tail []byte) code.Code {
+			b, err := h.Call(t.Context(), "a", append(wire.Encode(q), tail...))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &wire.Resp{}
+			if err := wire.Decode(b, r); err != nil {
+				t.Fatal(err)
+			}
+			return code.Code(r.Code)
+		}
+		hello := &wire.Req_Hello{Hello: &wire.Hello{}}
+		later := protowire.AppendString(protowire.AppendTag(nil, 999, protowire.BytesType), "of a later version")
+		for _, tc := range []struct {
+			what string
+			q    *wire.Req
+			tail []byte
+			want code.Code
+		}{
+			{"our version", &wire.Req{Ver: wire.Version, Op: hello}, nil, code.OK},
+			{"a later version", &wire.Req{Ver: wire.Version + 1, Op: hello}, later, code.OK},
+			{"none", &wire.Req{Op: hello}, nil, code.WireVersion},
+			{"another identity", &wire.Req{Ver: wire.Version, Ident: "ib", Op: hello}, nil, code.WrongIdentity},
+			{"an unserved kind", &wire.Req{Ver: wire.Version, Op: &wire.Req_Put{Put: &wire.Put{}}}, nil, code.UnknownMsg},
+			{"a kind of a later version", &wire.Req{Ver: wire.Version + 1}, later, code.UnknownMsg},
+			{"garble", &wire.Req{Ver: wire.Version, Op: hello}, []byte{0xff}, code.Garbled},
+		} {
+			if got := send(tc.q, tc.tail); got != tc.want {
+				t.Errorf("%s: %d, want %d", tc.what, got, tc.want)
+			}
+		}
+	})
+}
--- a/kit/sim/measure_test.go
+++ b/kit/sim/measure_test.go
@@ -52,3 +52,40 @@
 		t.Errorf("shared %d, alone %d: sharing should spare more than half", refused[false], refused[true])
 	}
 }
+
+// TestRepairTraffic measures what it costs to mend a store that missed some
+// turns: messages against keys missed, and what an idle comparison costs.
+func TestRepairTraffic(t *testing.T) {
+	for _, missed := range []int{20, 80, 320} {
+		quiet(t, func(ctx context.Context, s *sim.Sim) {
+			for range 100 {
+				ask(t, s, "e1", "/v1/turns", `{"conversation":"reel","words":"work:x;","max_output":1}`, map[string]string{"X-Damsontiller-Program": "reel/before"})
+			}
+			s.Kill("s2")
+			time.Sleep(time.Second)
+			for range missed {
+				ask(t, s, "e1", "/v1/turns", `{"conversation":"reel","words":"work:x;","max_output":1}`, map[string]string{"X-Damsontiller-Program": "reel/after"})
+			}
+			if err := s.Up(ctx, "s2", false); err != nil {
+				t.Fatal(err)
+			}
+			var sent uint64
+			sim.Until(30*time.Second, func() bool {
+				st := s.Store("s2")
+				if st == nil {
+					return false
+				}
+				sent = st.Peer.Sent()
+				return st.Mended() >= int64(missed)
+			})
+			time.Sleep(10 * time.Second)
+			st := s.Store("s2")
+			mended, idle := st.Mended(), st.Peer.Sent()
+			time.Sleep(30 * time.Second)
+			t.Logf("%3d turns missed: %3d keys mended with %d messages; idle afterwards %.1f messages a second", missed, mended, sent, float64(st.Peer.Sent()-idle)/30)
+			if mended < int64(missed) || st.Mended() != mended {
+				t.Errorf("%d mended, then %d more", mended, st.Mended()-mended)
+			}
+		})
+	}
+}
--- a/kit/sim/ops_test.go
+++ b/kit/sim/ops_test.go
@@ -15,6 +15,8 @@
 	"damsontiller/kit/runner"
 	"damsontiller/kit/sim"
 	"damsontiller/pass/door"
+	"damsontiller/pass/report"
+	"damsontiller/proto/spec"
 	"damsontiller/xport/code"
 )
 
@@ -326,3 +328,45 @@
 		}
 	})
 }
+
+// TestPlatform: a runner that only the platform's list names is given work, and
+// one that leaves is given none, however long the list still names it.
+func TestPlatform(t *testing.T) {
+	quiet(t, func(ctx context.Context, s *sim.Sim) {
+		extra := runner.New(runner.Params{Runner: spec.Runner{Name: "a9", Addr: "10.9.0.9:9000", Zone: "a", Route: "assets"}, Bears: 8, Take: 10 * time.Millisecond, Seed: 9})
+		s.Serve(extra.P.Addr, extra.Handler())
+		s.Serve("10.9.0.1:9900", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(report.Platform{Runners: []report.Listed{{Name: "a9", Addr: extra.P.Addr, Zone: "a", Route: "assets"}, {Name: "bad name", Addr: "x"}}})
+		}))
+		var now struct {
+			Version uint64         `json:"version"`
+			Spec    map[string]any `json:"spec"`
+		}
+		if _, err := s.Operate(http.MethodGet, "/v1/spec", nil, &now); err != nil {
+			t.Fatal(err)
+		}
+		now.Spec["platform"] = "10.9.0.1:9900"
+		if st, a, err := s.Change(http.MethodPut, "/v1/spec", map[string]any{"expect": now.Version, "spec": now.Spec}); err != nil || st != http.StatusOK {
+			t.Fatalf("%d %+v %v", st, a, err)
+		}
+		burst := func() {
+			var wg sync.WaitGroup
+			for i := range 40 {
+				wg.Go(func() { ask(t, s, fmt.Sprintf("e%d", i%6+1), "/v1/calls/assets", `{"args":{"do":"work:x;"}}`, nil) })
+			}
+			wg.Wait()
+		}
+		time.Sleep(5 * time.Second)
+		burst()
+		if len(extra.Ledger()) == 0 {
+			t.Error("a runner of the platform's list got no work")
+		}
+		extra.Drain()
+		time.Sleep(3 * time.Second)
+		before := len(extra.Ledger())
+		burst()
+		if n := len(extra.Ledger()); n != before {
+			t.Errorf("%d jobs 3 s after it left", n-before)
+		}
+	})
+}
--- a/kit/sim/sim.go
+++ b/kit/sim/sim.go
@@ -204,6 +204,13 @@
 	s.Note(judge.Back, name, 0)
 }
 
+// Serve puts any other HTTP server on the network.
+func (s *Sim) Serve(addr string, h http.Handler) {
+	s.mu.Lock()
+	s.up[addr] = h
+	s.mu.Unlock()
+}
+
 // RunnerDown ends a runner's process as a crash would.
 func (s *Sim) RunnerDown(name string) {
 	r := s.Runner(name)
