--- a/kit/dtrig/main.go
+++ b/kit/dtrig/main.go
@@ -25,7 +25,7 @@
 
 const usage = `dtrig up [flags]        start a fleet and keep it running until interrupted
 dtrig run [flags]       run one scenario (-scenario) under traffic, and judge it
-dtrig all [flags]       run every scenario for both deployments, and print a table
+dtrig all [flags]       run every scenario, for both deployments or the one named, and print a table
 dtrig ci [flags]        the short run of the test command
 dtrig list              list the scenarios
 
@@ -117,7 +117,13 @@
 		}
 		return nil
 	case "all":
-		return all(one, *seed)
+		list := []string{"andina", "tsehay"}
+		fs.Visit(func(f *flag.Flag) {
+			if f.Name == "deploy" {
+				list = []string{*deploy}
+			}
+		})
+		return all(one, list, *seed)
 	}
 	return fmt.Errorf("%q is no subcommand\n%s", args[0], usage)
 }
@@ -165,10 +171,10 @@
 	return nil
 }
 
-func all(one func(string, string, uint64, io.Writer) (*rig.Result, error), seed uint64) error {
-	fmt.Printf("%-8s %-12s %5s %6s %6s %9s  %s\n", "deploy", "scenario", "seed", "asks", "ok", "breaches", "service back after")
+func all(one func(string, string, uint64, io.Writer) (*rig.Result, error), deploys []string, seed uint64) error {
+	fmt.Printf("%-8s %-12s %5s %6s %6s %9s %12s  %s\n", "deploy", "scenario", "seed", "asks", "ok", "breaches", "urgent late", "service back after")
 	bad := 0
-	for _, d := range []string{"andina", "tsehay"} {
+	for _, d := range deploys {
 		for _, s := range rig.Scenarios {
 			res, err := one(d, s.Name, seed, io.Discard)
 			if err != nil {
@@ -178,7 +184,7 @@
 			}
 			n := res.Verdict.Total()
 			bad += n
-			fmt.Printf("%-8s %-12s %5d %6d %6d %9d  %s\n", d, s.Name, seed, res.Asks, res.Codes["ok"], n, backs(res))
+			fmt.Printf("%-8s %-12s %5d %6d %6d %9d %5d of %-4d  %s\n", d, s.Name, seed, res.Asks, res.Codes["ok"], n, late(res.Urgent), len(res.Urgent), backs(res))
 			if n > 0 {
 				fmt.Print(res.Verdict)
 			}
@@ -190,6 +196,17 @@
 	return nil
 }
 
+// late counts the urgent answers that took over half a second.
+func late(took []time.Duration) int {
+	n := 0
+	for _, d := range took {
+		if d > 500*time.Millisecond {
+			n++
+		}
+	}
+	return n
+}
+
 func backs(r *rig.Result) string {
 	var out []string
 	for _, b := range r.Back {
@@ -214,13 +231,7 @@
 	}
 	if len(r.Urgent) > 0 {
 		slices.Sort(r.Urgent)
-		late := 0
-		for _, d := range r.Urgent {
-			if d > 500*time.Millisecond {
-				late++
-			}
-		}
-		fmt.Printf("urgent: %d, median %s, longest %s, over half a second %d\n", len(r.Urgent), r.Urgent[len(r.Urgent)/2].Round(time.Millisecond), r.Urgent[len(r.Urgent)-1].Round(time.Millisecond), late)
+		fmt.Printf("urgent: %d, median %s, longest %s, over half a second %d\n", len(r.Urgent), r.Urgent[len(r.Urgent)/2].Round(time.Millisecond), r.Urgent[len(r.Urgent)-1].Round(time.Millisecond), late(r.Urgent))
 	}
 	if ok := r.Codes["ok"]; ok > 0 {
 		fmt.Printf("register rounds a good answer %.2f, messages %.1f\n", float64(r.Rounds)/float64(ok), float64(r.Sent)/float64(ok))
--- a/pass/day/day_test.go
+++ b/pass/day/day_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,3 +108,37 @@
 		}
 	})
 }
+
+// TestSameKeySameBody: a key that the day holds twice is replayed with one and
+// the same body; it used to be refused as used for another job.
+func TestSameKeySameBody(t *testing.T) {
+	var mu sync.Mutex
+	bodies := map[string]map[string]bool{}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		b, _ := io.ReadAll(q.Body)
+		mu.Lock()
+		k := q.Header.Get("Idempotency-Key")
+		if bodies[k] == nil {
+			bodies[k] = map[string]bool{}
+		}
+		bodies[k][string(b)] = true
+		mu.Unlock()
+		_, _ = w.Write([]byte(`{"text":"x"}`))
+	}))
+	defer srv.Close()
+	row := day.Row{Job: "j", Route: "r", Program: "p", Key: "k", Words: 80, Wait: 5000}
+	p := &day.Player{Day: &day.Day{Rows: []day.Row{row, row, {Job: "j", Route: "r", Program: "p", Key: "other", Words: 80, Wait: 5000}}}, Speed: 1, Run: "run",
+		Client: day.NewClient(nil), Edges: func(string) []string { return []string{strings.TrimPrefix(srv.URL, "http://")} },
+		Words: func(_ day.Row, work string) string { return "work:" + work }}
+	p.Play(t.Context())
+	mu.Lock()
+	defer mu.Unlock()
+	if len(bodies) != 2 {
+		t.Errorf("%d keys, want 2", len(bodies))
+	}
+	for k, b := range bodies {
+		if len(b) != 1 {
+			t.Errorf("key %s came with %d bodies", k, len(b))
+		}
+	}
+}
--- a/pass/day/play.go
+++ b/pass/day/play.go
@@ -63,6 +63,10 @@
 
 func (p *Player) one(ctx context.Context, i int, r Row) {
 	work := fmt.Sprintf("%s-%d", p.Run, i)
+	if r.Key != "" {
+		// A key asked again in the day is asked again with the same body.
+		work = p.Run + "-" + r.Key
+	}
 	words := strings.Repeat("w", max(r.Words, 1))
 	if p.Words != nil {
 		words = p.Words(r, work)
--- a/pass/purse/main_test.go
+++ b/pass/purse/main_test.go
@@ -1,17 +1,9 @@
 package purse
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"damsontiller/xport/fixed"
 )
 
-// The same plans in every run: a verdict must not hang on chance.
-func TestMain(m *testing.M) {
-	for k, v := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(k, v); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixed.Main(m, 1000) }
--- a/proto/reg/proposer.go
+++ b/proto/reg/proposer.go
@@ -201,6 +201,25 @@
 	return st, err
 }
 
+// prepare is the first round; no answers are given where there is no quorum.
+func (p *Proposer) prepare(ctx context.Context, set Set, key string) (*wire.Ballot, []reply) {
+	b := p.ballot()
+	got := p.round(ctx, set, func() *wire.Req { return &wire.Req{Op: &wire.Req_Prep{Prep: &wire.Prep{Key: key, Ballot: b}}} },
+		func(got []reply) bool { return set.Quorum(good(got)) })
+	p.learn(got)
+	if !set.Quorum(good(got)) {
+		return b, nil
+	}
+	return b, got
+}
+
+// accept is the second round; it waits until enough says so, or all answered.
+func (p *Proposer) accept(ctx context.Context, set Set, key string, b *wire.Ballot, c *wire.Cell, enough func([]reply) bool) []reply {
+	got := p.round(ctx, set, func() *wire.Req { return &wire.Req{Op: &wire.Req_Acc{Acc: &wire.Acc{Key: key, Ballot: b, Cell: c}}} }, enough)
+	p.learn(got)
+	return got
+}
+
 // Mend writes a key's value back under a new ballot until every voter of the
 // last group has taken it. It changes nothing.
 func (p *Proposer) Mend(ctx context.Context, set Set, key string) error {
@@ -212,11 +231,8 @@
 		if try > 0 && !loop.Wait(ctx, pause(try)) || ctx.Err() != nil {
 			return fmt.Errorf("mend %s: %w: %w", key, ErrNoQuorum, ctx.Err())
 		}
-		b := p.ballot()
-		got := p.round(ctx, set, func() *wire.Req { return &wire.Req{Op: &wire.Req_Prep{Prep: &wire.Prep{Key: key, Ballot: b}}} },
-			func(got []reply) bool { return set.Quorum(good(got)) })
-		p.learn(got)
-		if !set.Quorum(good(got)) {
+		b, got := p.prepare(ctx, set, key)
+		if got == nil {
 			continue
 		}
 		cur, _ := highest(got)
@@ -232,11 +248,7 @@
 			}
 			return set.Quorum(have)
 		}
-		got = p.round(ctx, set, func() *wire.Req {
-			return &wire.Req{Op: &wire.Req_Acc{Acc: &wire.Acc{Key: key, Ballot: b, Cell: cur.GetCell()}}}
-		}, all)
-		p.learn(got)
-		if all(got) {
+		if all(p.accept(ctx, set, key, b, cur.GetCell(), all)) {
 			return nil
 		}
 	}
@@ -265,11 +277,8 @@
 		if try > 0 && !loop.Wait(ctx, pause(try)) || ctx.Err() != nil {
 			return fail(fmt.Errorf("%w: %w", ErrNoQuorum, ctx.Err()))
 		}
-		b := p.ballot()
-		got := p.round(ctx, set, func() *wire.Req { return &wire.Req{Op: &wire.Req_Prep{Prep: &wire.Prep{Key: key, Ballot: b}}} },
-			func(got []reply) bool { return set.Quorum(good(got)) })
-		p.learn(got)
-		if !set.Quorum(good(got)) {
+		b, got := p.prepare(ctx, set, key)
+		if got == nil {
 			continue
 		}
 		cur, holders := highest(got)
@@ -305,11 +314,8 @@
 		if cell == nil || set.Quorum(holders) {
 			return st, verdict
 		}
-		got = p.round(ctx, set, func() *wire.Req {
-			return &wire.Req{Op: &wire.Req_Acc{Acc: &wire.Acc{Key: key, Ballot: b, Cell: cell}}}
-		}, func(got []reply) bool { return set.Quorum(good(got)) })
-		p.learn(got)
-		if !set.Quorum(good(got)) {
+		most := func(got []reply) bool { return set.Quorum(good(got)) }
+		if !most(p.accept(ctx, set, key, b, cell, most)) {
 			continue
 		}
 		if verdict == nil && !ours && f != nil {
