--- a/kit/fleet/fleet.go
+++ b/kit/fleet/fleet.go
@@ -387,6 +387,7 @@
 	for _, r := range f.Runners {
 		r.Stop()
 	}
+	f.Platform.Stop()
 }
 
 // Start starts the process; first is whether a core forms its set.
--- a/kit/runner/runner.go
+++ b/kit/runner/runner.go
@@ -387,10 +387,17 @@
 		_ = json.NewEncoder(w).Encode(report.Platform{Runners: p.list})
 	})}
 	go func() { _ = p.srv.Serve(ln) }()
-	context.AfterFunc(ctx, func() { _ = p.srv.Close() })
+	context.AfterFunc(ctx, p.Stop)
 	return nil
 }
 
+// Stop ends the list's server; its port is free when it returns.
+func (p *Platform) Stop() {
+	if p.srv != nil {
+		_ = p.srv.Close()
+	}
+}
+
 // Forget takes back the next order.
 func (r *Runner) Forget() {
 	r.mu.Lock()
