Vaults use pebble's newest format

Cause: its old table writer keeps channels in a pool for the whole process; two simulated worlds in one test process shared one, and the run died ('send on synctest channel from outside bubble'). Ruled out: a channel of our own crossing worlds (the trace is pebble's alone). After: not seen; the newest format makes its channel for each writer.

--- a/state/vault/vault.go
+++ b/state/vault/vault.go
@@ -220,7 +220,9 @@
 		return fmt.Errorf("%w: %w", errLocked, err)
 	}
 	lock.Close()
-	db, err := pebble.Open(v.path("db"), &pebble.Options{FS: v.fs, Logger: quiet{v.p.Log}})
+	// The newest format, for its table writer: the older one pools channels,
+	// which simulated worlds in one test process must not share.
+	db, err := pebble.Open(v.path("db"), &pebble.Options{FS: v.fs, Logger: quiet{v.p.Log}, FormatMajorVersion: pebble.FormatNewest})
 	if err != nil {
 		return err
 	}
