One gathering of the stand-ins' ledgers; a kick and a getter nobody used are gone

The rig and the simulation each collected the ledgers for the judge; judge.Runs serves both. Desk.kick was never poked, Desk.Room never called. No behaviour changes. Run: vet of pass and kit, the judge's and cooldown's tests, TestHealthy, TestSharedCooldown; not the whole check.

--- a/kit/judge/judge.go
+++ b/kit/judge/judge.go
@@ -47,6 +47,17 @@
 	Runner spec.Runner
 }
 
+// Runs gathers the ledgers of all stand-ins.
+func Runs(rs []*runner.Runner) []Run {
+	var out []Run
+	for _, r := range rs {
+		for _, e := range r.Ledger() {
+			out = append(out, Run{Entry: e, Runner: r.P.Runner})
+		}
+	}
+	return out
+}
+
 // EventKind is what was done to the fleet.
 type EventKind string
 
--- a/kit/rig/rig.go
+++ b/kit/rig/rig.go
@@ -328,12 +328,7 @@
 }
 
 func (r *Rig) result(name string) *Result {
-	c := judge.Case{Spec: &r.F.Spec, Asks: r.asks(), Most: r.Crowd.Most}
-	for _, n := range r.F.Runners {
-		for _, e := range n.Ledger() {
-			c.Runs = append(c.Runs, judge.Run{Entry: e, Runner: n.P.Runner})
-		}
-	}
+	c := judge.Case{Spec: &r.F.Spec, Asks: r.asks(), Runs: judge.Runs(r.F.Runners), Most: r.Crowd.Most}
 	r.mu.Lock()
 	c.Events = append(c.Events, r.events...)
 	c.Samples = append(c.Samples, r.samples...)
--- a/kit/sim/sim.go
+++ b/kit/sim/sim.go
@@ -540,12 +540,7 @@
 
 // Judge reads the ledgers.
 func (s *Sim) Judge() (judge.Verdict, *judge.Case) {
-	c := &judge.Case{Spec: &s.Spec, Asks: s.Crowd.Ledger(), Most: s.Crowd.Most}
-	for _, r := range s.Runners {
-		for _, e := range r.Ledger() {
-			c.Runs = append(c.Runs, judge.Run{Entry: e, Runner: r.P.Runner})
-		}
-	}
+	c := &judge.Case{Spec: &s.Spec, Asks: s.Crowd.Ledger(), Runs: judge.Runs(s.Runners), Most: s.Crowd.Most}
 	s.mu.Lock()
 	c.Events = append(c.Events, s.events...)
 	c.Samples = append(c.Samples, s.samples...)
--- a/pass/cool/cool.go
+++ b/pass/cool/cool.go
@@ -38,10 +38,9 @@
 
 // Desk reads and installs cooldowns for the workers of this node.
 type Desk struct {
-	p    Params
-	n    *node.Node
-	t    *tier.Tier
-	kick loop.Kick
+	p Params
+	n *node.Node
+	t *tier.Tier
 
 	mu sync.Mutex
 	// until is what this node has seen, on its own clock. It only ever saves
@@ -58,7 +57,7 @@
 
 // New makes the desk and listens for what others spread.
 func New(p Params, n *node.Node, t *tier.Tier) *Desk {
-	d := &Desk{p: p, n: n, t: t, kick: loop.NewKick(), until: map[string]time.Time{}, gates: map[string]*gate{}, kept: map[string]time.Time{}}
+	d := &Desk{p: p, n: n, t: t, until: map[string]time.Time{}, gates: map[string]*gate{}, kept: map[string]time.Time{}}
 	n.Board.On("cool", d.hear)
 	return d
 }
@@ -304,7 +303,7 @@
 
 // Run writes kept refusals once the tier takes them.
 func (d *Desk) Run(ctx context.Context) {
-	loop.Every(ctx, 250*time.Millisecond, d.kick, func(ctx context.Context) {
+	loop.Every(ctx, 250*time.Millisecond, nil, func(ctx context.Context) {
 		d.mu.Lock()
 		todo := map[string]time.Time{}
 		for k, u := range d.kept {
@@ -376,9 +375,6 @@
 	return out
 }
 
-// Room is what a call needs after a wait.
-func (d *Desk) Room() time.Duration { return d.p.Room }
-
 var words = []string{"429", "rate limit", "ratelimit", "too many requests", "throttle", "quota exceeded"}
 
 // Raised tells whether a raised problem is a rate limit, by its message or its
