Spec: a table of raw jobs' routes, indexed; a change of the realm as a Go call

Cause: the users' platform routes by authority and path prefix and hands jobs on as they came; the spec knew only named turns and tools. The table stands beside the spec in the realm register, so one register change still decides.

--- a/coord/core/ops.go
+++ b/coord/core/ops.go
@@ -125,34 +125,56 @@
 	})
 }
 
-// change makes f's change and answers as the rule of acknowledgement says.
-func (c *Core) change(x echo.Context, expect uint64, f func(*spec.Realm) error) error {
-	ctx, stop := context.WithTimeout(x.Request().Context(), c.p.AckWait)
-	defer stop()
+// Ack is what becomes of an operator's change.
+type Ack struct {
+	Version uint64
+	InForce bool     // nobody acts on an older one any more
+	Waiting []string // who still might
+}
+
+// Change makes f's change of the realm and waits, for as long as ctx lasts, until
+// it is in force. An error means that it was not chosen, or is in doubt; on a
+// conflict the version in force is told.
+func (c *Core) Change(ctx context.Context, expect uint64, f func(*spec.Realm) error) (Ack, error) {
 	ver, raw, err := c.Realm.Change(ctx, expect, f)
 	if err != nil {
-		p := web.Of(err)
-		if code.Of(err) == code.SpecConflict {
-			p.Version = ver
-		}
-		return x.JSON(code.Code(p.Code).Status(), p)
+		return Ack{Version: ver}, err
 	}
 	c.Log.Info("spec chosen", "version", ver)
 	took := c.spread(ctx, ver, raw)
-	wait := []string{"unknown"}
+	a := Ack{Version: ver, Waiting: []string{"unknown"}}
 	for {
 		if w, err := c.waiting(ctx, ver, took); err == nil {
-			if wait = w; len(w) == 0 {
-				return x.JSON(http.StatusOK, ack{Version: ver, Name: code.OK.Name(), InForce: true, Waiting: w})
+			if a.Waiting = w; len(w) == 0 {
+				a.InForce = true
+				return a, nil
 			}
 		}
 		if !loop.Wait(ctx, 50*time.Millisecond) {
 			// Chosen, but somebody could still act on an older one.
-			return x.JSON(http.StatusAccepted, ack{ver, int(code.NotInForce), code.NotInForce.Name(), false, wait})
+			return a, nil
 		}
 	}
 }
 
+// change makes f's change and answers as the rule of acknowledgement says.
+func (c *Core) change(x echo.Context, expect uint64, f func(*spec.Realm) error) error {
+	ctx, stop := context.WithTimeout(x.Request().Context(), c.p.AckWait)
+	defer stop()
+	a, err := c.Change(ctx, expect, f)
+	switch {
+	case err != nil:
+		p := web.Of(err)
+		if code.Of(err) == code.SpecConflict {
+			p.Version = a.Version
+		}
+		return x.JSON(code.Code(p.Code).Status(), p)
+	case a.InForce:
+		return x.JSON(http.StatusOK, ack{Version: a.Version, Name: code.OK.Name(), InForce: true, Waiting: a.Waiting})
+	}
+	return x.JSON(http.StatusAccepted, ack{a.Version, int(code.NotInForce), code.NotInForce.Name(), false, a.Waiting})
+}
+
 func (c *Core) getVersion(x echo.Context) error {
 	ver, err := strconv.ParseUint(x.Param("ver"), 10, 64)
 	if err != nil || ver == 0 {
--- a/proto/spec/types.go
+++ b/proto/spec/types.go
@@ -2,7 +2,7 @@
 // the realm around it, which the system itself keeps (core and store sets).
 package spec
 
-//go:generate go tool easyjson -disallow_unknown_fields types.go
+//go:generate go tool easyjson -disallow_unknown_fields types.go table.go
 
 // Spec is what operators write.
 //
@@ -152,6 +152,14 @@
 	// Used are the identities that were let go; none may come back.
 	Used []string `json:"used,omitempty"`
 	Spec Spec     `json:"spec"`
+	// Table routes raw jobs; Taken are the latest changes of it.
+	Table Table   `json:"table"`
+	Taken []Taken `json:"taken,omitempty"`
+	// Copies is how many stores hold each key; 0 means 3.
+	Copies int `json:"copies,omitempty"`
+	// Retired are the names of stores that operators sent away: they are not taken
+	// in again.
+	Retired []string `json:"retired,omitempty"`
 }
 
 // Patch is a small change; what it leaves out stays as it is.
