Raw jobs: passed on as they came, kept turns as deltas, budgets, elections by key

Cause: the product knew only its own turns and calls, whose bodies it reads. Raw jobs go on untouched, streams event by event; a turn is kept as what it brought and what came of it, with the names of those before it, so bytes grow with a conversation and not with its square. Not measured yet.

--- a/coord/tier/tier.go
+++ b/coord/tier/tier.go
@@ -199,15 +199,25 @@
 // GetBlob finds an immutable value. One copy is proof enough that it is there;
 // only a majority of the old set, which is whole until a change has ended,
 // proves that it is not.
-func (t *Tier) GetBlob(ctx context.Context, key string) (val []byte, err error) {
+func (t *Tier) GetBlob(ctx context.Context, key string) ([]byte, error) {
+	val, _, err := t.GetKept(ctx, key)
+	return val, err
+}
+
+// GetKept is GetBlob with how much longer the copy that answered is kept.
+func (t *Tier) GetKept(ctx context.Context, key string) (val []byte, left time.Duration, err error) {
+	var g *wire.Got
 	_, err = t.under(ctx, key, false, func(ctx context.Context, s reg.Set) error {
-		val, err = t.get(ctx, s, key)
+		g, err = t.get(ctx, s, key)
 		return err
 	})
-	return val, err
+	if err != nil {
+		return nil, 0, err
+	}
+	return g.Val, time.Duration(g.KeepMs-g.AgeMs) * time.Millisecond, nil
 }
 
-func (t *Tier) get(ctx context.Context, s reg.Set, key string) ([]byte, error) {
+func (t *Tier) get(ctx context.Context, s reg.Set, key string) (*wire.Got, error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	ch, n := t.ask(ctx, s, func() *wire.Req { return &wire.Req{Op: &wire.Req_Get{Get: &wire.Get{Key: key}}} })
@@ -222,7 +232,7 @@
 			last = g.err
 			continue
 		case g.g.GetState() == wire.Got_HERE:
-			return g.g.Val, nil
+			return g.g, nil
 		case g.g.GetState() == wire.Got_PAST:
 			past = true
 		}
--- a/pass/edge/edge.go
+++ b/pass/edge/edge.go
@@ -51,6 +51,9 @@
 	Late  time.Duration // for writing down what is known past a cutoff
 	Open  time.Duration // until the door opens even without slots
 	Tape  int           // answered jobs remembered for records of the traffic
+	// OnlyRaw leaves out what named turns and tools need: no slots are dealt, and no
+	// runner of the spec is asked.
+	OnlyRaw bool
 }
 
 // DefaultParams are the design's.
@@ -75,6 +78,8 @@
 	pol   *policy.Desk
 	bg    job.Bg
 	ready atomic.Bool
+	// joined: a member with the spec as a majority has it.
+	joined atomic.Bool
 	// When slots were last dealt to this node, and first in this spell; the asking
 	// goroutine's own.
 	last, first time.Time
@@ -233,9 +238,13 @@
 		return err
 	}
 	e.Run(ctx)
+	e.joined.Store(true)
 	e.Go(ctx, e.tier.Run)
-	e.Go(ctx, e.back.Run)
 	e.Go(ctx, e.Desk.Run)
+	if e.p.OnlyRaw {
+		return nil
+	}
+	e.Go(ctx, e.back.Run)
 	e.Go(ctx, e.duty.Run)
 	e.Go(ctx, func(ctx context.Context) { loop.Every(ctx, e.p.Ask, e.kick, e.ask) })
 	return nil
--- /dev/null
+++ b/pass/edge/raw.go
@@ -0,0 +1,67 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"damsontiller/pass/raw"
+	"damsontiller/pass/roll"
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// Raw is the part of an edge that passes raw jobs.
+type Raw struct {
+	*raw.Door
+	Roll *roll.Roll
+	load *raw.Load
+	pool *raw.Pool
+	e    *Edge
+	p    RawParams
+}
+
+// RawParams are its settings.
+type RawParams struct {
+	raw.Params
+	Read time.Duration // between two readings of the list of runners
+}
+
+// DefaultRaw are the design's.
+var DefaultRaw = RawParams{Params: raw.DefaultParams, Read: 900 * time.Millisecond}
+
+// Raw joins the parts of a raw job's way, in one fixed order. It is called before
+// Start.
+func (e *Edge) Raw(p RawParams, dialect raw.Dialect) *Raw {
+	r := &Raw{Roll: roll.New(), load: raw.NewLoad(), pool: raw.NewPool(p.Pool, e.P.Net.Dial), e: e, p: p}
+	r.Door = raw.New(p.Params, raw.Parts{Self: e.P.Self, View: e.Realm.Now, Members: e.Lic.Members, Ready: r.Ready, Roll: r.Roll, Load: r.load, Pool: r.pool,
+		Cool: e.Desk, Dialect: dialect, Log: e.Log.Named("raw"),
+		Way: []raw.Policy{raw.NewTurns(p.Turns, e.tier), raw.NewPurses(p.Purses, e.tier, e.bg)}})
+	return r
+}
+
+// Ready tells whether raw jobs are taken.
+func (r *Raw) Ready() error {
+	switch {
+	case r.e.stops.Load():
+		return code.New(code.Stopping, "this node stops, ask another")
+	case !r.e.joined.Load() || r.Roll.Now().At.IsZero() || r.e.Realm.Now().Table.Revision == 0:
+		return code.New(code.NotReady, "this node has just come up, ask another")
+	}
+	return nil
+}
+
+// Run keeps the list of runners until ctx ends.
+func (r *Raw) Run(ctx context.Context, list func(context.Context) ([]roll.Runner, error)) {
+	loop.Every(ctx, r.p.Read, nil, func(ctx context.Context) {
+		at := time.Now()
+		all, err := list(ctx)
+		if err != nil {
+			r.e.Log.Warn("list of runners not read", "err", err)
+			return
+		}
+		r.Roll.Take(roll.NewList(at, all))
+		on := func(id string) bool { return r.Roll.Now().Get(id) != nil }
+		r.load.Sweep(on)
+		r.pool.Sweep(on)
+	})
+}
--- /dev/null
+++ b/pass/raw/job.go
@@ -0,0 +1,77 @@
+// Package raw passes jobs whose request goes on as it came and whose answer
+// comes back as it is made: elected runner, cooldown, one send, and the word on
+// what became of it. What may be repeated is the path's to say.
+package raw
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"damsontiller/coord/realm"
+	"damsontiller/pass/roll"
+	"damsontiller/proto/spec"
+)
+
+// Part is a piece of a prompt that several jobs may share.
+type Part struct {
+	ID     string
+	Tokens int64
+}
+
+// Job is one try of a caller.
+type Job struct {
+	context.Context
+	Try     string // its caller's name of this very try
+	Program string // empty: it belongs to none
+	Session string
+	Follows string // the try whose turn it goes on from
+	Subject string // what it is about, for a runner that saw it lately
+	Model   string
+	Parts   []Part
+	In      int64         // tokens of the prompt
+	Most    int64         // tokens put out at the most
+	Budget  int64         // of all turns of the program; 0: none is stated
+	After   string        // the last event that the caller has of a resumed stream
+	Wait    time.Duration // how long the caller waits; 0: it does not say
+	Ends    time.Duration // until the program should be over; 0: it does not say
+
+	// Cutoff is the earliest of the caller's wait and the path's guard, from arrival.
+	Arrived time.Time
+	Cutoff  time.Time
+	View    *realm.View
+	Path    *spec.Path
+	Service *spec.Service
+	Req     *http.Request
+	Body    []byte // whole
+}
+
+// Left is the time until the cutoff.
+func (j *Job) Left() time.Duration { return time.Until(j.Cutoff) }
+
+// Repeatable tells whether the job may run more than once.
+func (j *Job) Repeatable() bool {
+	return j.Path.Kind == spec.Repeatable || j.Path.Kind == spec.Stream && j.Path.Resumable
+}
+
+// Word is what a runner's answer says beside its body.
+type Word struct {
+	Try    string // whose answer it is; empty: it does not say
+	Sealed bool   // the runner's own mark is on it
+	NotRun bool   // it did not run the job and never will
+	Other  bool   // it is another runner than the one meant; it did not run the job
+	Cold   time.Duration
+}
+
+// Dialect is how jobs and answers are spelt on HTTP. It only translates.
+type Dialect interface {
+	// Read fills a job from a request's head; a problem names the header.
+	Read(r *http.Request, j *Job) error
+	// Send writes what goes to a runner beside the caller's own headers: the try's
+	// name, the runner meant, the time left, the rank (0 first).
+	Send(h http.Header, j *Job, to *roll.Runner, left time.Duration, rank int)
+	// Resume asks a runner to begin after an event.
+	Resume(h http.Header, after string)
+	// Heard reads an answer's head.
+	Heard(r *http.Response) Word
+}
--- /dev/null
+++ b/pass/raw/load.go
@@ -0,0 +1,278 @@
+package raw
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"damsontiller/pass/roll"
+	"damsontiller/proto/spec"
+)
+
+// Load is the busyness of each runner: what this node has under way, what the
+// others had when last heard, and what to keep away from for a moment.
+type Load struct {
+	mu  sync.Mutex
+	all map[string]*busy
+}
+
+type busy struct {
+	n      int   // jobs of this node under way
+	tokens int64 // of prompts and outputs
+	// Of the other nodes, as last heard.
+	others      int
+	otherTokens int64
+	avoid       time.Time
+	chill       time.Time // fresh until then, by its own word
+	cold        *rate.Limiter
+	coldRate    float64
+	used        time.Time
+}
+
+// NewLoad makes a load that knows of nothing.
+func NewLoad() *Load { return &Load{all: map[string]*busy{}} }
+
+func (l *Load) of(id string) *busy {
+	b := l.all[id]
+	if b == nil {
+		b = &busy{}
+		l.all[id] = b
+	}
+	b.used = time.Now()
+	return b
+}
+
+// Enter counts a job in, the function given counts it out.
+func (l *Load) Enter(id string, tokens int64) func() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.of(id)
+	b.n++
+	b.tokens += tokens
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		b.n--
+		b.tokens -= tokens
+	}
+}
+
+// Avoid keeps this node's jobs away from a runner for a while.
+func (l *Load) Avoid(id string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if u := time.Now().Add(d); u.After(l.of(id).avoid) {
+		l.of(id).avoid = u
+	}
+}
+
+// Chill takes a runner's own word that it is fresh.
+func (l *Load) Chill(id string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of(id).chill = time.Now().Add(d)
+}
+
+// Under tells whether a runner has less under way than so many times its room.
+func (l *Load) Under(r *roll.Runner, s *spec.Service, times float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.of(r.ID).full(r, s) < times
+}
+
+// Busy is what this node has under way at one runner.
+type Busy struct {
+	N      int
+	Tokens int64
+}
+
+// Own lists what this node has under way.
+func (l *Load) Own() map[string]Busy {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string]Busy{}
+	for id, b := range l.all {
+		if b.n > 0 {
+			out[id] = Busy{b.n, b.tokens}
+		}
+	}
+	return out
+}
+
+// Hear takes what all other nodes have under way.
+func (l *Load) Hear(others map[string]Busy) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, b := range l.all {
+		o := others[id]
+		b.others, b.otherTokens = o.N, o.Tokens
+	}
+	for id, o := range others {
+		if l.all[id] == nil {
+			b := l.of(id)
+			b.others, b.otherTokens = o.N, o.Tokens
+		}
+	}
+}
+
+// Sweep forgets runners that are not on the list any more.
+func (l *Load) Sweep(on func(id string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, b := range l.all {
+		if b.n == 0 && !on(id) && time.Since(b.used) > 10*time.Second {
+			delete(l.all, id)
+		}
+	}
+}
+
+// Shares is how many nodes a fresh runner's rate is dealt to. Each may send one at
+// once on top of its part of the rate, so they are few; who they are follows from
+// the runner's id, the same on every node.
+const Shares = 4
+
+// cold tells whether this node may send a fresh runner one more job now.
+func (b *busy) mayCold(perS float64, nodes int) bool {
+	if perS <= 0 || nodes == 0 {
+		return false
+	}
+	r := perS / float64(nodes)
+	if b.cold == nil || b.coldRate != r {
+		b.cold, b.coldRate = rate.NewLimiter(rate.Limit(r), 1), r
+	}
+	return b.cold.Allow()
+}
+
+// Ask is what an election rests on.
+type Ask struct {
+	Service *spec.Service
+	List    *roll.List
+	Zone    string // this node's
+	Key     string // jobs of one key go to one runner; empty: to the least busy
+	Tokens  int64  // of prompt and output
+	May     func(*roll.Runner) bool
+	Cold    func(*roll.Runner) bool // it is fresh
+	Shares  func(*roll.Runner) int  // among how many nodes its rate is dealt; 0: this node has no part
+}
+
+// spread is how far above the middle a runner may be and still be kept to.
+const spread = 1.25
+
+type cand struct {
+	r    *roll.Runner
+	b    *busy
+	f    float64 // of its room in use
+	cold bool
+}
+
+// Elect finds the runner for a job: the one that its key points to, in this
+// node's zone first, unless it is much busier than the rest; without a key the
+// least busy. Room tells whether the one found has a place free.
+func (l *Load) Elect(a Ask) (r *roll.Runner, room bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	var cs []cand
+	sum := 0.0
+	for _, r := range a.List.Of(a.Service.Name) {
+		if r.Leaving || !a.May(r) {
+			continue
+		}
+		b := l.of(r.ID)
+		if now.Before(b.avoid) {
+			continue
+		}
+		c := cand{r: r, b: b, f: b.full(r, a.Service), cold: now.Before(b.chill) || a.Cold(r)}
+		cs = append(cs, c)
+		sum += c.f
+	}
+	if len(cs) == 0 {
+		return nil, false
+	}
+	bound := sum/float64(len(cs))*spread + 1/float64(max(cs[0].r.Room, 1))
+	if a.Key != "" {
+		// Own zone first: a prefix is not read twice, nor sent between zones.
+		for _, home := range []bool{true, false} {
+			if c := l.keyed(a, cs, home, bound); c != nil {
+				return c.r, c.f < 1
+			}
+		}
+	}
+	if c := l.least(a, cs); c != nil {
+		return c.r, c.f < 1
+	}
+	return nil, false
+}
+
+func (b *busy) full(r *roll.Runner, s *spec.Service) float64 {
+	f := float64(b.n+b.others) / float64(max(r.Room, 1))
+	if s.Engine != nil {
+		f = max(f, float64(b.tokens+b.otherTokens)/float64(s.Engine.CacheTokens))
+	}
+	return f
+}
+
+func (a *Ask) fresh(c *cand) bool {
+	return !c.cold || c.b.mayCold(a.Service.ColdRate, a.Shares(c.r))
+}
+
+func (l *Load) keyed(a Ask, cs []cand, home bool, bound float64) *cand {
+	var best *cand
+	var top uint64
+	for i := range cs {
+		c := &cs[i]
+		if (c.r.Zone == a.Zone) != home || c.f > bound || c.f >= 1 || c.cold {
+			continue
+		}
+		if h := weigh(a.Key, c.r.ID); best == nil || h > top {
+			best, top = c, h
+		}
+	}
+	return best
+}
+
+// least finds the least busy; of equals one of this zone, then any.
+func (l *Load) least(a Ask, cs []cand) *cand {
+	for len(cs) > 0 {
+		best, n := -1, 0
+		top := 0.0
+		for i := range cs {
+			f := cs[i].f
+			if cs[i].r.Zone != a.Zone {
+				f += 0.5 / float64(max(cs[i].r.Room, 1))
+			}
+			switch {
+			case best < 0 || f < top:
+				best, top, n = i, f, 1
+			case f == top:
+				// Each of n equals has the same chance.
+				if n++; rand.IntN(n) == 0 {
+					best = i
+				}
+			}
+		}
+		if a.fresh(&cs[best]) {
+			return &cs[best]
+		}
+		cs[best] = cs[len(cs)-1]
+		cs = cs[:len(cs)-1]
+	}
+	return nil
+}
+
+// weigh is a key's weight at a runner, the same on every node.
+func weigh(key, id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	h.Write([]byte{0})
+	h.Write([]byte(id))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/pass/raw/out.go
@@ -0,0 +1,207 @@
+package raw
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"damsontiller/xport/code"
+)
+
+// Answer is what becomes of a job.
+type Answer struct {
+	Good bool  // whole, and the runner's own
+	Err  error // numbered
+	// Wait is when the caller may come back, of a job that did not run.
+	Wait time.Duration
+}
+
+// NotRun tells whether the job surely did not run and will not.
+func (a Answer) NotRun() bool { return a.Err != nil && code.Of(a.Err).Ran() == "no" }
+
+// Refuse answers for a job that did not run.
+func Refuse(err error, wait time.Duration) Answer { return Answer{Err: err, Wait: wait} }
+
+// Next is the rest of a job's way, Policy one decision on it.
+type Next func(*Job, *Out) Answer
+
+// Policy may answer by itself, or call next and do something before and after.
+type Policy interface {
+	Do(j *Job, w *Out, next Next) Answer
+}
+
+// Chain joins policies in order before the last step.
+func Chain(last Next, ps ...Policy) Next {
+	for i := len(ps) - 1; i >= 0; i-- {
+		p, next := ps[i], last
+		last = func(j *Job, w *Out) Answer { return p.Do(j, w, next) }
+	}
+	return last
+}
+
+// Out is the way back to the caller. Once it has begun, the answer can only end
+// whole or be broken off.
+type Out struct {
+	w       http.ResponseWriter
+	begun   bool
+	collect bool
+	text    bytes.Buffer
+	events  int
+	last    string // id of the last event passed on
+}
+
+// Begun tells whether the caller has seen the head.
+func (o *Out) Begun() bool { return o.begun }
+
+// Events counts the events passed on.
+func (o *Out) Events() int { return o.events }
+
+// Collect keeps the data of what is passed on; Text gives it.
+func (o *Out) Collect()     { o.collect = true }
+func (o *Out) Text() []byte { return o.text.Bytes() }
+
+// Headers that concern one connection only.
+var hop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true}
+
+// pass copies headers, less those of one connection.
+func pass(to, from http.Header) {
+	named := map[string]bool{}
+	for _, v := range from["Connection"] {
+		for _, f := range strings.Split(v, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(f))] = true
+		}
+	}
+	for k, vs := range from {
+		if !hop[k] && !named[k] && k != "Content-Length" {
+			to[k] = vs
+		}
+	}
+}
+
+// head passes a runner's head on.
+func (o *Out) head(r *http.Response) {
+	if o.begun {
+		return
+	}
+	o.begun = true
+	h := o.w.Header()
+	pass(h, r.Header)
+	if _, ok := h["Content-Type"]; !ok {
+		// Nothing is guessed about the runner's bytes.
+		h["Content-Type"] = nil
+	}
+	o.w.WriteHeader(r.StatusCode)
+}
+
+// errCaller: the caller can't be written to any more.
+var errCaller = errors.New("the caller has gone")
+
+// stream passes events on as they come, whole ones only, so that another run can
+// go on after the last. It ends without a problem only where the runner ended.
+func (o *Out) stream(r *http.Response) error {
+	br := bufio.NewReaderSize(r.Body, 2048)
+	rc := http.NewResponseController(o.w)
+	o.head(r)
+	if err := rc.Flush(); err != nil {
+		return errCaller
+	}
+	var ev []byte
+	for {
+		l, err := br.ReadSlice('\n')
+		ev = append(ev, l...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			if len(ev) > maxEvent {
+				return code.New(code.NotWhole, "an event over %d bytes", maxEvent)
+			}
+			continue
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+		whole := blank(l) && len(ev) > len(l)
+		if whole || err != nil && len(ev) > 0 {
+			if _, werr := o.w.Write(ev); werr != nil {
+				return errCaller
+			}
+			if whole {
+				o.note(ev)
+			}
+			if err == nil && br.Buffered() == 0 {
+				if werr := rc.Flush(); werr != nil {
+					return errCaller
+				}
+			}
+			ev = ev[:0]
+		}
+		if err != nil {
+			return nil
+		}
+	}
+}
+
+// maxEvent bounds one event.
+const maxEvent = 1 << 20
+
+func blank(l []byte) bool { return len(bytes.TrimRight(l, "\r\n")) == 0 }
+
+// note remembers an event's id and, if asked, its data.
+func (o *Out) note(ev []byte) {
+	data, some := o.text.Len(), false
+	for l := range bytes.Lines(ev) {
+		k, v, _ := bytes.Cut(bytes.TrimRight(l, "\r\n"), []byte(":"))
+		v = bytes.TrimPrefix(v, []byte(" "))
+		switch string(k) {
+		case "id":
+			o.last = string(v)
+		case "data":
+			if o.collect {
+				o.text.Write(v)
+				o.text.WriteByte('\n')
+			}
+			some = true
+		}
+	}
+	if some {
+		o.events++
+	} else {
+		o.text.Truncate(data)
+	}
+}
+
+// maxWhole is what of an answer is held to prove that it is whole before its head
+// is passed on; a longer one is passed as it comes and broken off if it breaks off.
+const maxWhole = 256 << 10
+
+// whole passes an answer on that is no stream.
+func (o *Out) whole(r *http.Response) error {
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxWhole))
+	if err != nil {
+		return err
+	}
+	if len(b) < maxWhole || r.ContentLength == int64(len(b)) {
+		if r.ContentLength >= 0 || r.Request.Method != http.MethodHead {
+			o.w.Header()["Content-Length"] = []string{itoa(max(r.ContentLength, int64(len(b))))}
+		}
+		o.head(r)
+		if len(b) > 0 {
+			if _, err := o.w.Write(b); err != nil {
+				return errCaller
+			}
+		}
+		return nil
+	}
+	if r.ContentLength >= 0 {
+		o.w.Header()["Content-Length"] = []string{itoa(r.ContentLength)}
+	}
+	o.head(r)
+	if _, err := o.w.Write(b); err != nil {
+		return errCaller
+	}
+	_, err = io.Copy(o.w, r.Body)
+	return err
+}
--- /dev/null
+++ b/pass/raw/purse.go
@@ -0,0 +1,164 @@
+package raw
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"damsontiller/coord/tier"
+	"damsontiller/pass/job"
+	"damsontiller/pass/purse"
+	"damsontiller/proto/reg"
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// Purses keeps the output budget that a program's own callers state, whole over
+// all nodes: a turn reserves the most it may put out, and settles to what it did.
+// What nobody settles counts as spent.
+type Purses struct {
+	t   *tier.Tier
+	p   PurseParams
+	bg  job.Bg
+	mu  sync.Mutex
+	due map[string]map[string]int64 // settlements not yet written, by program and try
+	at  [64]sync.Mutex              // changes of one program from this node take turns
+}
+
+// PurseParams are the times of budgets.
+type PurseParams struct {
+	Pre    time.Duration // for reserving
+	Settle time.Duration // how long a settlement waits for the program's next turn
+	Write  time.Duration // for one try at writing it
+}
+
+// DefaultPurses are the design's.
+var DefaultPurses = PurseParams{Pre: 800 * time.Millisecond, Settle: 200 * time.Millisecond, Write: time.Second}
+
+// NewPurses makes the keeper of budgets.
+func NewPurses(p PurseParams, t *tier.Tier, bg job.Bg) *Purses {
+	return &Purses{t: t, p: p, bg: bg, due: map[string]map[string]int64{}}
+}
+
+func purseKey(program string) string { return "purse/raw/" + program }
+
+func readPurse(st reg.State) (purse.Value, error) {
+	var v purse.Value
+	if len(st.Val) == 0 {
+		return v, nil
+	}
+	if err := json.Unmarshal(st.Val, &v); err != nil {
+		return v, code.New(code.Garbled, "purse: %w", err)
+	}
+	return v, nil
+}
+
+// change makes f's change of a program's purse together with the settlements due.
+func (p *Purses) change(ctx context.Context, program string, f func(*purse.Value) error) error {
+	l := &p.at[weigh(program, "")%uint64(len(p.at))]
+	l.Lock()
+	defer l.Unlock()
+	p.mu.Lock()
+	due := map[string]int64{}
+	for k, n := range p.due[program] {
+		due[k] = n
+	}
+	p.mu.Unlock()
+	_, err := p.t.Change(ctx, purseKey(program), func(st reg.State) ([]byte, bool, error) {
+		v, err := readPurse(st)
+		if err != nil {
+			return nil, false, err
+		}
+		for id, n := range due {
+			v.Settle(id, n)
+		}
+		if err := f(&v); err != nil {
+			return nil, false, err
+		}
+		b, err := json.Marshal(v)
+		return b, false, err
+	})
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range due {
+		delete(p.due[program], id)
+	}
+	if len(p.due[program]) == 0 {
+		delete(p.due, program)
+	}
+	return nil
+}
+
+// Reserve sets the most that a job may put out aside, or says that the budget
+// does not hold it.
+func (p *Purses) Reserve(ctx context.Context, j *Job) error {
+	return p.change(ctx, j.Program, func(v *purse.Value) error {
+		if _, ok := v.Open[j.Try]; ok {
+			return nil
+		}
+		if v.All()+j.Most > j.Budget {
+			return code.New(code.BudgetSpent, "%d of %d are spent or reserved, the turn may put out %d", v.All(), j.Budget, j.Most)
+		}
+		return v.Reserve(j.Try, j.Most, j.Budget)
+	})
+}
+
+// Settle writes down what a turn put out, with the program's next turn or soon.
+func (p *Purses) Settle(program, try string, spent int64) {
+	p.mu.Lock()
+	first := p.due[program] == nil
+	if first {
+		p.due[program] = map[string]int64{}
+	}
+	p.due[program][try] = spent
+	p.mu.Unlock()
+	if !first {
+		return
+	}
+	p.bg.Go(func() {
+		// One that waits already takes this along.
+		for try := 0; try < 60; try++ {
+			if try == 0 {
+				loop.Wait(p.bg.Ctx, p.p.Settle)
+			}
+			p.mu.Lock()
+			n := len(p.due[program])
+			p.mu.Unlock()
+			if n == 0 {
+				return
+			}
+			ctx, stop := context.WithTimeout(context.WithoutCancel(p.bg.Ctx), p.p.Write)
+			err := p.change(ctx, program, func(*purse.Value) error { return nil })
+			stop()
+			if err != nil && !loop.Wait(p.bg.Ctx, 250*time.Millisecond) {
+				return
+			}
+		}
+	})
+}
+
+// Do is the policy.
+func (p *Purses) Do(j *Job, w *Out, next Next) Answer {
+	if j.Program == "" || j.Budget <= 0 || j.Most <= 0 {
+		return next(j, w)
+	}
+	ctx, stop := context.WithTimeout(j, min(p.p.Pre, j.Left()))
+	err := p.Reserve(ctx, j)
+	stop()
+	switch {
+	case code.Of(err) == code.OutcomeUnknown:
+		// Perhaps it is reserved; nothing was sent, so it is handed back.
+		p.Settle(j.Program, j.Try, 0)
+		return Refuse(code.New(code.TierAway, "the budget could not be reserved: %w", err), 200*time.Millisecond)
+	case err != nil:
+		return Refuse(err, 200*time.Millisecond)
+	}
+	a := next(j, w)
+	// What the caller was handed, whatever became of the rest.
+	p.Settle(j.Program, j.Try, int64(w.Events())*j.perEvent())
+	return a
+}
--- /dev/null
+++ b/pass/raw/send.go
@@ -0,0 +1,363 @@
+package raw
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"damsontiller/pass/cool"
+	"damsontiller/pass/roll"
+	"damsontiller/proto/spec"
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// pickShare is the service that a lot falls to.
+func pickShare(to []spec.Share, lot uint64) string {
+	sum := int64(0)
+	for _, s := range to {
+		sum += s.Weight
+	}
+	if sum <= 0 {
+		return ""
+	}
+	at := int64(lot % uint64(sum))
+	for _, s := range to {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
+
+// broadcast wakes all who wait for a free place.
+type broadcast struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+func newBroadcast() *broadcast { return &broadcast{ch: make(chan struct{})} }
+
+func (b *broadcast) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ch
+}
+
+func (b *broadcast) tell() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.ch)
+	b.ch = make(chan struct{})
+}
+
+// refills remembers since when zones are in use again: their runners may have
+// gone cold while they were not.
+type refills struct {
+	mu    sync.Mutex
+	empty map[string]bool
+	since map[string]time.Time
+}
+
+// see compares with the zones emptied now, and gives since when one is in use.
+func (z *refills) see(emptied []string, zone string) time.Time {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.empty == nil {
+		z.empty, z.since = map[string]bool{}, map[string]time.Time{}
+	}
+	now := map[string]bool{}
+	for _, e := range emptied {
+		now[e] = true
+	}
+	for e := range z.empty {
+		if !now[e] {
+			z.since[e] = time.Now()
+		}
+	}
+	z.empty = now
+	return z.since[zone]
+}
+
+// elect finds a runner that may be sent this job now.
+func (d *Door) elect(j *Job, tried map[string]bool) (*roll.Runner, bool) {
+	v := d.pt.View()
+	l := d.pt.Roll.Now()
+	k := ""
+	switch {
+	case j.Service.Engine != nil && j.Program != "":
+		k = j.Program
+	case j.Path.Affine:
+		k = j.Subject
+	}
+	return d.pt.Load.Elect(Ask{Service: j.Service, List: l, Zone: d.pt.Self.Zone, Key: k, Tokens: j.In + j.Most,
+		May: func(r *roll.Runner) bool {
+			return !tried[r.ID] && !v.Spec.Empty(r.Zone) && d.pt.Cool.Seen(coolKey(r)) <= 0
+		},
+		Cold: func(r *roll.Runner) bool {
+			if j.Service.ColdRate <= 0 {
+				return false
+			}
+			cold := time.Duration(r.ColdMs) * time.Millisecond
+			if time.Since(l.At) < cold {
+				return true
+			}
+			// Since its zone is in use again it may be cold, until a list read well
+			// after says that it is not.
+			s := d.zone.see(v.Spec.EmptyZones, r.Zone)
+			return !s.IsZero() && l.At.Before(s.Add(d.p.List)) && time.Since(s) < time.Duration(j.Service.ColdMs)*time.Millisecond+d.p.List
+		},
+		Shares: d.shares,
+	})
+}
+
+func coolKey(r *roll.Runner) string { return "runner/" + r.ID }
+
+// shares is among how many nodes a fresh runner's rate is dealt, 0 where this one
+// has no part: the few edges that the runner's id points to.
+func (d *Door) shares(r *roll.Runner) int {
+	mine := weigh(d.pt.Self.Id, r.ID)
+	n, above := 0, 0
+	for _, m := range d.pt.Members() {
+		if m.Role != "edge" || !m.Live {
+			continue
+		}
+		n++
+		if m.Id != d.pt.Self.Id && weigh(m.Id, r.ID) > mine {
+			above++
+		}
+	}
+	if above >= Shares {
+		return 0
+	}
+	return min(max(n, 1), Shares)
+}
+
+// place waits for a runner with a free place, as long as a part of the job's aim,
+// and then gives whichever may be sent more than its room.
+func (d *Door) place(j *Job, tried map[string]bool) (*roll.Runner, Answer) {
+	aim := time.Duration(j.Path.AimMs) * time.Millisecond
+	if aim == 0 {
+		aim = j.Left()
+	}
+	until := j.Arrived.Add(time.Duration(float64(aim) * d.p.Hold))
+	for {
+		free := d.free.wait()
+		r, room := d.elect(j, tried)
+		if r != nil && room {
+			return r, Answer{}
+		}
+		left := min(time.Until(until), j.Left())
+		if left <= 0 {
+			if r == nil {
+				return nil, noRunner(j, "none may be sent a job now")
+			}
+			if !d.pt.Load.Under(r, j.Service, d.p.Over) {
+				return nil, Refuse(code.New(code.BacklogFull, "all runners of %s are full", j.Service.Name), 200*time.Millisecond)
+			}
+			return r, Answer{}
+		}
+		ctx, stop := context.WithTimeout(j, min(left, 25*time.Millisecond))
+		loop.Until(ctx, free)
+		stop()
+		if j.Err() != nil {
+			return nil, Refuse(code.New(code.CutoffPassed, "the caller has gone"), 0)
+		}
+	}
+}
+
+// pass is the end of the way: elect, send, and the word on what became of it.
+// What may have run is sent again only where the path says that it may.
+func (d *Door) pass(j *Job, w *Out) Answer {
+	tried := map[string]bool{}
+	sent := 0
+	for {
+		r, a := d.place(j, tried)
+		if r == nil {
+			return a
+		}
+		tried[r.ID] = true
+		x := d.send(j, w, r)
+		switch {
+		case x.good:
+			return Answer{Good: true}
+		case x.told:
+			// The runner's own word, handed on as it was.
+			return Answer{}
+		}
+		if x.sent {
+			sent++
+		}
+		more := j.Path.Tries == 0 || sent < j.Path.Tries
+		if x.notRun {
+			if more && j.Left() > 0 && j.Err() == nil {
+				continue
+			}
+			return Refuse(x.err, x.wait)
+		}
+		if !more || !j.Repeatable() || j.Left() <= 0 || j.Err() != nil {
+			return Answer{Err: x.err}
+		}
+		if w.begun && (!j.Path.Resumable || w.last == "") {
+			return Answer{Err: x.err}
+		}
+	}
+}
+
+// sending is what became of one send.
+type sending struct {
+	good   bool // a whole answer, passed on
+	told   bool // a whole answer that is no success, passed on
+	sent   bool // a byte may have gone out
+	notRun bool
+	err    error
+	wait   time.Duration
+}
+
+func (d *Door) send(j *Job, w *Out, r *roll.Runner) sending {
+	done := d.pt.Load.Enter(r.ID, j.In+j.Most)
+	defer func() { done(); d.free.tell() }()
+	ctx, stop := context.WithDeadline(j, j.Cutoff)
+	defer stop()
+	c, err := d.pt.Pool.get(ctx, r, false)
+	if err != nil {
+		// Nothing went out. It may be gone, or have too many connections.
+		d.pt.Load.Avoid(r.ID, d.p.Avoid)
+		return sending{notRun: true, wait: 150 * time.Millisecond, err: code.New(code.NoRunner, "runner %s can't be reached: %w", r.ID, err)}
+	}
+	clean := false
+	defer func() {
+		if !clean {
+			c.c.Close()
+		}
+	}()
+	// The connection hears of the cutoff, and of a caller that has gone.
+	_ = c.c.SetDeadline(j.Cutoff)
+	undo := context.AfterFunc(ctx, func() { _ = c.c.SetDeadline(time.Unix(1, 0)) })
+	defer undo()
+	q := d.request(j, w, r)
+	// An edge that slept wakes up here: nothing goes out past the cutoff, nor to a
+	// runner that may not be sent to any more.
+	if j.Left() <= 0 || j.Err() != nil {
+		return sending{notRun: true, err: code.New(code.CutoffPassed, "no time is left")}
+	}
+	if err := q.Write(c.c); err != nil {
+		return d.lost(j, r, c, err)
+	}
+	var word Word
+	res, surplus, err := c.answer(q, func(x *http.Response) bool {
+		word = d.pt.Dialect.Heard(x)
+		return word.Try == "" || word.Try == j.Try
+	})
+	if err != nil {
+		return d.lost(j, r, c, err)
+	}
+	defer res.Body.Close()
+	if word.Cold > 0 {
+		d.pt.Load.Chill(r.ID, word.Cold)
+	}
+	if word.NotRun || word.Other {
+		x := d.refused(j, r, res, word)
+		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, 64<<10)); err == nil && !surplus && undo() {
+			clean = true
+			d.pt.Pool.put(r, c, d.pt.Pool.rest(res))
+		}
+		return x
+	}
+	if res.StatusCode/100 == 2 && (!word.Sealed || word.Try == "") {
+		return sending{sent: true, err: code.New(code.NotWhole, "a success from %s without its mark", r.ID)}
+	}
+	if promise[res.StatusCode] {
+		// It does not say that it did not run the job, so neither may we.
+		return sending{sent: true, err: code.New(code.RunnerProblem, "runner %s answered %d", r.ID, res.StatusCode)}
+	}
+	if w.begun && res.StatusCode/100 != 2 {
+		return sending{sent: true, err: code.New(code.RunnerProblem, "runner %s answered %d to what was to go on", r.ID, res.StatusCode)}
+	}
+	if j.Path.Kind == spec.Stream && res.StatusCode/100 == 2 {
+		err = w.stream(res)
+	} else {
+		err = w.whole(res)
+	}
+	if err != nil {
+		if errors.Is(err, errCaller) {
+			return sending{sent: true, err: code.New(code.OutcomeUnknown, "%w", err)}
+		}
+		return d.lost(j, r, c, err)
+	}
+	if !surplus && undo() {
+		clean = true
+		d.pt.Pool.put(r, c, d.pt.Pool.rest(res))
+	}
+	if res.StatusCode/100 == 2 {
+		return sending{good: true, sent: true}
+	}
+	return sending{told: true, sent: true}
+}
+
+// promise are the statuses by which callers hear that a job did not run.
+var promise = map[int]bool{http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
+
+// request is the job as it goes to a runner: as it came, under the same name, to
+// that runner only.
+func (d *Door) request(j *Job, w *Out, r *roll.Runner) *http.Request {
+	p, query, some := strings.Cut(j.Req.RequestURI, "?")
+	q := &http.Request{Method: j.Req.Method, URL: &url.URL{Scheme: "http", Host: r.Addr, Opaque: p, RawQuery: query, ForceQuery: some},
+		Host: j.Req.Host, Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	pass(q.Header, j.Req.Header)
+	delete(q.Header, "Expect")
+	if _, ok := q.Header["User-Agent"]; !ok {
+		// Without an entry the library would add its own name.
+		q.Header["User-Agent"] = []string{""}
+	}
+	d.pt.Dialect.Send(q.Header, j, r, j.Left(), min(j.Path.Rank, 9))
+	if w.begun && w.last != "" {
+		d.pt.Dialect.Resume(q.Header, w.last)
+	}
+	if len(j.Body) > 0 {
+		q.ContentLength = int64(len(j.Body))
+		q.Body = io.NopCloser(bytes.NewReader(j.Body))
+	}
+	return q
+}
+
+// lost sorts out a send without a whole answer: it may have run.
+func (d *Door) lost(j *Job, r *roll.Runner, c *conn, err error) sending {
+	if j.Err() == nil && !broken(err) {
+		// A reset may be a runner that goes; a timeout is the job's own.
+		d.pt.Load.Avoid(r.ID, d.p.Avoid/4)
+		if errors.Is(err, syscall.ECONNRESET) && c.fresh {
+			d.pt.Load.Avoid(r.ID, d.p.Avoid)
+		}
+	}
+	n := code.OutcomeUnknown
+	if j.Left() <= 0 {
+		n = code.TimedOut
+	}
+	return sending{sent: true, err: code.New(n, "runner %s: %w", r.ID, err)}
+}
+
+// refused sorts out a clear word that the job did not run.
+func (d *Door) refused(j *Job, r *roll.Runner, res *http.Response, word Word) sending {
+	x := sending{sent: true, notRun: true, wait: 100 * time.Millisecond}
+	switch {
+	case word.Other:
+		// Somebody else has the address: the runner is gone.
+		d.pt.Load.Avoid(r.ID, 10*d.p.Avoid)
+		x.err = code.New(code.NoRunner, "runner %s is gone from its address", r.ID)
+	case j.View.Spec.Cooldown.Refusal(res.StatusCode):
+		x.wait = d.pt.Cool.Install(j, coolKey(r), cool.RetryAfter(res.Header))
+		x.err = code.New(code.RunnerDrop, "runner %s refused with status %d", r.ID, res.StatusCode)
+	default:
+		d.pt.Load.Avoid(r.ID, d.p.Avoid/20)
+		x.err = code.New(code.NoRunner, "runner %s refused with status %d", r.ID, res.StatusCode)
+	}
+	return x
+}
--- a/xport/code/code.go
+++ b/xport/code/code.go
@@ -47,6 +47,7 @@
 	RunnerProblem  Code = 304
 	NotKept        Code = 305
 	ClaimPast      Code = 306
+	TimedOut       Code = 307
 
 	SpecConflict Code = 401
 	NotInForce   Code = 402
@@ -128,6 +129,7 @@
 	{RunnerProblem, "runner_problem", 502, "unknown"},
 	{NotKept, "not_kept", 502, "unknown"},
 	{ClaimPast, "claim_past", 410, "unknown"},
+	{TimedOut, "timed_out", 504, "unknown"},
 	{SpecConflict, "spec_conflict", 409, ""},
 	{NotInForce, "not_in_force", 202, ""},
 	{BadSpec, "bad_spec", 400, ""},
--- a/xport/loop/loop.go
+++ b/xport/loop/loop.go
@@ -58,3 +58,13 @@
 		return true
 	}
 }
+
+// Until waits for ch or the end of ctx; it tells whether ch came.
+func Until(ctx context.Context, ch <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ch:
+		return true
+	}
+}
