--- a/cmd/dtcore/main.go
+++ b/cmd/dtcore/main.go
@@ -9,10 +9,14 @@
 	"os"
 	"time"
 
+	"github.com/labstack/echo/v4"
+
 	"damsontiller/cmd/start"
 	"damsontiller/coord/core"
 	"damsontiller/coord/web"
+	"damsontiller/platform"
 	"damsontiller/proto/spec"
+	"damsontiller/state/vault"
 	"damsontiller/xport/code"
 )
 
@@ -80,6 +84,9 @@
 }
 
 func serve(args []string) error {
+	if file := os.Getenv(platform.Env); file != "" && len(args) == 0 {
+		return onPlatform(file)
+	}
 	fs := flag.NewFlagSet("dtcore serve", flag.ContinueOnError)
 	p := start.Flags(fs)
 	boot := fs.Bool("bootstrap", false, "form the first set, once, together with every machine of -cores")
@@ -112,6 +119,17 @@
 	} else if p.Seeds == "" {
 		return code.New(code.BadFlag, "-seeds: missing")
 	}
+	return runCore(p, cp, 2*time.Second, func(ctx context.Context, e *echo.Echo, c *core.Core, v *vault.Vault) {
+		if p.Faults {
+			web.Faults(e, c.Peer.Cuts)
+			start.DiskFaults(e, v)
+		}
+	})
+}
+
+// runCore runs a core until it is told to stop; grace is for the orders under way
+// then. more adds, before the start, what this core has beside the others.
+func runCore(p *start.Place, cp core.Params, grace time.Duration, more func(context.Context, *echo.Echo, *core.Core, *vault.Vault)) error {
 	log := p.Log("dtcore")
 	v, err := p.Vault("core", log)
 	if err != nil {
@@ -122,21 +140,22 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := start.Signals()
+	sig, stop := start.Signals()
 	defer stop()
-	ctx, cancel := context.WithCancel(ctx)
+	// The duties outlive the signal: an order under way still needs them. A core
+	// that does not serve yet has none.
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if err := c.Start(ctx); err != nil {
-		return err
-	}
 	e := web.New(log)
 	c.Routes(e)
-	if p.Faults {
-		web.Faults(e, c.Peer.Cuts)
-		start.DiskFaults(e, v)
+	more(ctx, e, c, v)
+	serves := context.AfterFunc(sig, cancel)
+	if err := c.Start(ctx); err != nil {
+		return err
 	}
+	serves()
 	log.Info("serving", "listen", p.Listen, "http", p.HTTP, "spec", c.Realm.Now().Ver)
-	err = web.Serve(ctx, p.HTTP, e, 2*time.Second)
+	err = web.Serve(sig, p.HTTP, e, grace)
 	cancel()
 	c.Wait()
 	c.Peer.Close()
--- /dev/null
+++ b/cmd/dtcore/platform.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"damsontiller/cmd/start"
+	"damsontiller/coord/core"
+	"damsontiller/platform"
+	"damsontiller/platform/control"
+	"damsontiller/state/vault"
+)
+
+// onPlatform serves as a core machine of the platform.
+func onPlatform(file string) error {
+	s, err := platform.Load(file)
+	if err != nil {
+		return err
+	}
+	if err := s.Need("core"); err != nil {
+		return err
+	}
+	p, err := start.Platform(s, s.Bind.Control)
+	if err != nil {
+		return err
+	}
+	cp := core.Params{Zones: s.ZoneList(), Copies: s.Copies(), AckWait: time.Second, MoveRate: 500}
+	if s.Founds() {
+		cp.Found = s.Peers()
+	}
+	return runCore(p, cp, min(3*time.Second, s.Grace()/2), func(ctx context.Context, e *echo.Echo, c *core.Core, _ *vault.Vault) {
+		(&control.Door{Core: c, Sets: c}).Routes(e)
+		start.Reseed(ctx, s, c.Node)
+	})
+}
--- a/cmd/dtpass/main.go
+++ b/cmd/dtpass/main.go
@@ -16,12 +16,16 @@
 	"damsontiller/coord/web"
 	"damsontiller/pass/edge"
 	"damsontiller/pass/store"
+	"damsontiller/platform"
 	"damsontiller/xport/code"
 )
 
 func main() { os.Exit(start.Exit(run(os.Args[1:]))) }
 
 func run(args []string) error {
+	if file := os.Getenv(platform.Env); file != "" && len(args) == 2 && args[0] == "-role" {
+		return onPlatform(file, args[1])
+	}
 	fs := flag.NewFlagSet("dtpass", flag.ContinueOnError)
 	p := start.Flags(fs)
 	role := fs.String("role", "", "edge or store")
@@ -39,7 +43,7 @@
 	case "edge":
 		return runEdge(p, *grace)
 	case "store":
-		return runStore(p)
+		return runStore(p, func(context.Context, *store.Store) {})
 	}
 	return code.New(code.BadFlag, "-role: %q is neither edge nor store", *role)
 }
@@ -105,7 +109,9 @@
 	return 0
 }
 
-func runStore(p *start.Place) error {
+// runStore runs a store until it is told to stop; more adds, before the start, what
+// this store has beside the others.
+func runStore(p *start.Place, more func(context.Context, *store.Store)) error {
 	log := p.Log("dtpass")
 	v, err := p.Vault("store", log)
 	if err != nil {
@@ -120,6 +126,7 @@
 	if err != nil {
 		return err
 	}
+	more(ctx, s)
 	if err := s.Start(ctx); err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/dtpass/platform.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"damsontiller/cmd/start"
+	"damsontiller/coord/web"
+	"damsontiller/pass/edge"
+	"damsontiller/pass/store"
+	"damsontiller/platform"
+	"damsontiller/platform/dialect"
+	"damsontiller/platform/list"
+	"damsontiller/xport/code"
+)
+
+// onPlatform serves in a role as the platform's settings say.
+func onPlatform(file, role string) error {
+	s, err := platform.Load(file)
+	if err != nil {
+		return err
+	}
+	if err := s.Need(role); err != nil {
+		return err
+	}
+	p, err := start.Platform(s, s.Own())
+	if err != nil {
+		return err
+	}
+	switch role {
+	case "edge":
+		return platformEdge(p, s)
+	case "store":
+		return runStore(p, func(ctx context.Context, st *store.Store) { start.Reseed(ctx, s, st.Node) })
+	}
+	return code.New(code.BadFlag, "-role: %q is neither edge nor store", role)
+}
+
+// platformEdge serves the platform's callers.
+func platformEdge(p *start.Place, s *platform.Params) error {
+	log := p.Log("dtpass")
+	sig, stop := start.Signals()
+	defer stop()
+	// The duties outlive the signal: what is under way still needs them.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ep := edge.DefaultParams
+	ep.OnlyRaw = true
+	e := edge.New(ctx, ep, p.Node("edge", "", log))
+	door := e.Raw(edge.DefaultRaw, dialect.Dialect{})
+	front := &platform.Front{Addr: s.Bind.Front, Handler: door}
+	may := func() error {
+		if sig.Err() != nil {
+			return code.New(code.Stopping, "this node stops, ask another")
+		}
+		return door.Ready()
+	}
+	// Three servers: for callers, for the platform's question, for the node's own
+	// figures. Any that fails ends the process.
+	served := make(chan error, 3)
+	side, sideStop := context.WithCancel(ctx)
+	defer sideStop()
+	x := web.New(log)
+	e.Routes(x)
+	go func() { served <- front.Serve(sig, s.Grace()-time.Second) }()
+	go func() { served <- platform.Side(side, s.Bind.Ready, platform.Ready(may)) }()
+	go func() { served <- platform.Side(side, p.HTTP, x) }()
+	// The seeds may change before any has answered.
+	start.Reseed(ctx, s, e.Node)
+	started := make(chan error, 1)
+	sctx, serves := context.WithCancel(ctx)
+	defer serves()
+	go func() { started <- e.Start(sctx) }()
+	log.Info("serving", "listen", p.Listen, "front", s.Bind.Front)
+	var err error
+	for done := false; !done; {
+		select {
+		case err = <-started:
+			if started = nil; err != nil {
+				return err
+			}
+			reader := list.New(s.Platform.Address)
+			e.Go(ctx, func(ctx context.Context) { door.Run(ctx, reader.List) })
+		case err = <-served:
+			done = true
+		}
+	}
+	e.Stop()
+	e.Settle(500 * time.Millisecond)
+	sideStop()
+	cancel()
+	e.Wait()
+	e.Peer.Close()
+	log.Info("stopped")
+	return err
+}
--- /dev/null
+++ b/cmd/start/platform.go
@@ -0,0 +1,30 @@
+package start
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"damsontiller/coord/node"
+	"damsontiller/platform"
+)
+
+// Platform is where a process stands, as the platform's settings say; http is
+// where it serves HTTP.
+func Platform(s *platform.Params, http string) (*Place, error) {
+	// A machine that is away for half of the time after which it counts as away
+	// for good is no member any more, and holds nobody up.
+	lasts := s.Contact() / 2
+	p := &Place{ID: s.ID, Listen: s.Listen(), HTTP: http, Zone: s.Zone, Data: s.Data, Level: "info",
+		Seeds: strings.Join(s.Peers(), ","), MinFree: s.MinFree(), Renew: lasts / 3, Lasts: lasts, Hold: 10 * time.Second}
+	p.Hold = max(p.Hold, p.Lasts)
+	s.Fit()
+	return p, p.check()
+}
+
+// Reseed follows the settings file until ctx ends: the seeds may change.
+func Reseed(ctx context.Context, s *platform.Params, n *node.Node) {
+	n.Go(ctx, func(ctx context.Context) {
+		s.Watch(ctx, func(q *platform.Params) { n.Reseed(q.Peers()) }, func(err error) { n.Log.Warn("settings not read", "err", err) })
+	})
+}
--- a/coord/core/core.go
+++ b/coord/core/core.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,10 @@
 	Note(key string, b []byte) error
 	Noted(key string) ([]byte, error)
 	Notes(prefix string) (map[string][]byte, error)
+	// Ident is the identity that the disk stands for. Renew puts all of it aside for
+	// a new one.
+	Ident() string
+	Renew(why string) error
 	// Look measures the disk; Status says what is wrong with it.
 	Look()
 	Status() string
@@ -61,6 +66,13 @@
 	Cores     []spec.Machine
 	Stores    []spec.Machine
 	Spec      *spec.Spec
+	// Found are the addresses of the cores that form the first set, where no names
+	// are known. It stands without stores, over Zones where there is no Spec; they
+	// are taken in as they come.
+	Found []string
+	Zones []string
+	// Copies is how many stores hold each key; 0 means 3.
+	Copies int
 	// MoveRate bounds the keys moved a second while a set changes.
 	MoveRate int
 	// AckWait is how long an operator's request waits to be acknowledged.
@@ -74,6 +86,12 @@
 	acc   *reg.Acceptor
 	table *licence.Table
 	moved atomic.Int64 // keys moved in the change of a set under way
+	// What a set's duty is to look at again at once, and when a store that is in no
+	// set was last heard of for the first time.
+	kicks map[string]loop.Kick
+	came  atomic.Int64
+	met   sync.Map // identities heard of
+	began time.Time
 	*node.Node
 }
 
@@ -99,7 +117,9 @@
 // New makes a core over its disk.
 func New(p Params, np node.Params, d Disk) (*Core, error) {
 	np.Keep = Keep(d.Note)
-	c := &Core{p: p, disk: d, acc: reg.NewAcceptor(d), Node: node.New(np)}
+	c := &Core{p: p, disk: d, acc: reg.NewAcceptor(d), Node: node.New(np), began: time.Now()}
+	c.kicks = map[string]loop.Kick{cores: c.Realm.Watch(), stores: c.Realm.Watch()}
+	c.came.Store(time.Now().UnixNano())
 	c.Lic.Status = d.Status
 	noted, err := d.Notes(licence.NotePrefix)
 	if err != nil {
@@ -111,8 +131,13 @@
 	if err := Recall(d.Noted, c.Realm); err != nil {
 		return nil, err
 	}
-	Vote(c.Node, c.acc, func() []spec.Machine {
+	Vote(c.Node, c.acc, c.fresh, func() []spec.Machine {
 		v := c.Realm.Now()
+		if v.Ver == 0 {
+			// Before there is a set, whoever names this identity has it from us and
+			// is forming the first.
+			return []spec.Machine{{Ident: c.Peer.Ident()}}
+		}
 		return slices.Concat(v.Realm.Cores, v.NextCores)
 	})
 	c.Peer.On(&wire.Req_Renew{}, c.renew)
@@ -125,19 +150,23 @@
 
 // Vote answers the register's rounds, as long as this identity is in the set.
 // A machine that lost its disk has another identity and stays out.
-func Vote(n *node.Node, a *reg.Acceptor, set func() []spec.Machine) {
+func Vote(n *node.Node, a *reg.Acceptor, fresh func(*wire.Req) error, set func() []spec.Machine) {
 	ok := func() error {
-		if !slices.ContainsFunc(set(), func(m spec.Machine) bool { return m.Ident == n.Peer.Self.Ident }) {
+		if id := n.Peer.Ident(); id == "" || !slices.ContainsFunc(set(), func(m spec.Machine) bool { return m.Ident == id }) {
 			return code.New(code.NotVoting, "%s is not admitted to the set", n.Peer.Self.Id)
 		}
 		return nil
 	}
 	on := func(op any, f func(*wire.Req) (*wire.View, error)) {
 		n.Peer.On(op, func(_ context.Context, q *wire.Req) (*wire.Resp, error) {
+			// What a newer set's version shuts out is either refused or on the disk
+			// by the time that somebody asks for all that is there.
+			n.Gate.RLock()
+			defer n.Gate.RUnlock()
 			if err := ok(); err != nil {
 				return nil, err
 			}
-			if err := Fresh(n, q); err != nil {
+			if err := fresh(q); err != nil {
 				return nil, err
 			}
 			v, err := f(q)
@@ -161,12 +190,23 @@
 	return nil
 }
 
+// fresh refuses whoever deals with the cores under sets that are no more: his
+// majority could be one of the old set alone.
+func (c *Core) fresh(q *wire.Req) error {
+	if v := c.Realm.Now(); q.Spec > 0 && q.Spec < v.CoreVer {
+		return code.New(code.StaleSpec, "version %d, the cores have changed with %d", q.Spec, v.CoreVer)
+	}
+	return nil
+}
+
 func (c *Core) renew(ctx context.Context, q *wire.Req) (*wire.Resp, error) {
 	r, err := c.table.Grant(ctx, q)
 	if err != nil {
 		return nil, err
 	}
-	r.GetRenew().SpecVer = c.Realm.Now().Ver
+	v := c.Realm.Now()
+	r.GetRenew().SpecVer = v.Ver
+	c.heard(v, q.GetRenew().GetSelf())
 	return r, nil
 }
 
@@ -177,7 +217,7 @@
 	}
 	if c.Realm.Now().Ver == 0 {
 		find := c.Find
-		if c.p.Bootstrap {
+		if len(c.founders()) > 0 {
 			find = c.form
 		}
 		if err := find(ctx); err != nil {
@@ -190,91 +230,13 @@
 	c.Run(ctx)
 	c.Go(ctx, func(ctx context.Context) { loop.Every(ctx, time.Second, nil, func(context.Context) { c.disk.Look() }) })
 	c.Go(ctx, func(ctx context.Context) { loop.Every(ctx, 500*time.Millisecond, nil, c.bind) })
-	c.Go(ctx, func(ctx context.Context) { loop.Every(ctx, 500*time.Millisecond, nil, c.move) })
-	return nil
-}
-
-// form makes the first set. It needs every machine of the settings: each must
-// be empty and forming as well, or already belong to a set that counts us in.
-func (c *Core) form(ctx context.Context) error {
-	for try := 0; ; try++ {
-		set, err := c.meet(ctx)
-		if err != nil {
-			return err
-		}
-		if set != nil {
-			c.Realm.Boot(set)
-			return c.first(ctx, set)
-		}
-		if c.Realm.Now().Ver > 0 {
-			return nil
-		}
-		if try%20 == 0 {
-			c.Log.Info("forming, waiting for every core machine", "cores", len(c.p.Cores))
-		}
-		if !loop.Wait(ctx, 250*time.Millisecond) {
-			return code.New(code.CoreAway, "the set was not formed: %w", ctx.Err())
-		}
-	}
-}
-
-func (c *Core) meet(ctx context.Context) ([]spec.Machine, error) {
-	set := slices.Clone(c.p.Cores)
-	whole := true
-	for i, m := range set {
-		if m.ID == c.Peer.Self.Id {
-			set[i].Ident = c.Peer.Self.Ident
-			continue
-		}
-		h, err := c.Hello(ctx, m.Addr)
-		if err != nil {
-			whole = false
-			continue
-		}
-		if h.Self.GetId() != m.ID {
-			return nil, code.New(code.NotBootable, "%s says it is %q, the settings say %q", m.Addr, h.Self.GetId(), m.ID)
-		}
-		if h.Formed {
-			if err := c.Realm.Apply(h.RealmVer, h.Realm); err != nil {
-				return nil, err
-			}
-			if !slices.ContainsFunc(c.Realm.Now().Realm.Cores, func(m spec.Machine) bool { return m.Ident == c.Peer.Self.Ident }) {
-				return nil, code.New(code.NotBootable, "a set stands already and does not know this identity: start without -bootstrap and have it admitted")
-			}
-			return nil, nil
-		}
-		set[i].Ident = h.Self.GetIdent()
-	}
-	if !whole {
-		return nil, nil
-	}
-	return set, nil
-}
-
-// first proposes version 1; whichever machine is first, the others find it.
-func (c *Core) first(ctx context.Context, set []spec.Machine) error {
-	re := spec.Realm{Cores: set, Stores: c.p.Stores, Spec: *c.p.Spec}
-	raw, err := re.MarshalJSON()
-	if err != nil {
-		return err
-	}
-	for {
-		st, err := c.Prop.Change(ctx, c.Realm.Now().Cores(), realm.Key, func(s reg.State) ([]byte, bool, error) {
-			if s.Ver > 0 {
-				return nil, false, realm.ErrSame
-			}
-			return raw, false, nil
+	for set, kick := range c.kicks {
+		c.Go(ctx, func(ctx context.Context) {
+			loop.Every(ctx, 500*time.Millisecond, kick, func(ctx context.Context) { c.tend(ctx, set) })
 		})
-		if err == nil || errors.Is(err, realm.ErrSame) {
-			if st.Ver == 0 {
-				return c.Realm.Read(ctx)
-			}
-			return c.Realm.Apply(st.Ver, st.Val)
-		}
-		if !loop.Wait(ctx, 100*time.Millisecond) {
-			return err
-		}
 	}
+	c.Go(ctx, func(ctx context.Context) { LetGo(ctx, c.Node, c.disk, c.acc.Forgotten) })
+	return nil
 }
 
 // bind gives each store of the set that has none yet the identity it came
@@ -343,10 +305,9 @@
 	}
 	all := map[string]*wire.Member{}
 	have := map[reg.Replica]bool{}
-	for range cores {
-		a := <-ch
+	take := func(a answer) {
 		if a.err != nil {
-			continue
+			return
 		}
 		have[a.r] = true
 		for _, m := range a.ms {
@@ -361,12 +322,31 @@
 			}
 		}
 	}
+	// A licence is granted by a majority, so any majority knows of every node. The
+	// others are given a moment more: they may have heard of some later.
+	var most <-chan time.Time
+	for range cores {
+		select {
+		case a := <-ch:
+			take(a)
+		case <-most:
+			return all, nil
+		}
+		if most == nil && set.Quorum(have) {
+			t := time.NewTimer(moment)
+			defer t.Stop()
+			most = t.C
+		}
+	}
 	if !set.Quorum(have) {
 		return nil, code.New(code.CoreAway, "%d of %d core machines answered", len(have), len(cores))
 	}
 	return all, nil
 }
 
+// moment is how long a core machine that is slower than a majority is waited for.
+const moment = 50 * time.Millisecond
+
 // waiting lists the nodes that could still act on a version older than ver. It
 // is none where the stores are the fence: so many have confirmed that no key
 // finds a majority below it, and what was looked at before is too old by now.
@@ -375,6 +355,13 @@
 	if err != nil {
 		return nil, err
 	}
+	// The fence's time runs while the silent are asked for.
+	var over <-chan time.Time
+	if c.fenced(all, ver, took) {
+		t := time.NewTimer(tier.Window)
+		defer t.Stop()
+		over = t.C
+	}
 	type gone struct {
 		id  string
 		yes bool
@@ -394,32 +381,47 @@
 	}
 	out := []string{}
 	for range n {
-		if g := <-ch; !g.yes {
-			out = append(out, g.id)
+		select {
+		case g := <-ch:
+			if !g.yes {
+				out = append(out, g.id)
+			}
+		case <-over:
+			return []string{}, nil
 		}
 	}
 	slices.Sort(out)
-	if len(out) > 0 && c.fenced(all, ver, took) && loop.Wait(ctx, tier.Window) {
-		return []string{}, nil
+	if len(out) > 0 && over != nil {
+		select {
+		case <-over:
+			return []string{}, nil
+		case <-ctx.Done():
+		}
 	}
 	return out, nil
 }
 
-// fenced: in neither set of stores could two that have not confirmed ver make a
-// majority of some key's three.
+// fenced: in neither set of stores could those that have not confirmed ver make a
+// majority of some key's copies.
 func (c *Core) fenced(all map[string]*wire.Member, ver uint64, took map[string]bool) bool {
 	v := c.Realm.Now()
 	for _, set := range [][]spec.Machine{v.Realm.Stores, v.NextStores} {
-		behind := 0
+		var behind []spec.Machine
 		for _, s := range set {
 			m := all[s.ID+"@"+s.Addr]
 			if m.GetIdent() != s.Ident || m.GetSpecVer() < ver && !took[s.ID] {
-				behind++
+				behind = append(behind, s)
 			}
 		}
-		if behind*2 >= realm.Copies || behind > 0 && len(set) < realm.Copies {
+		if !minor(set, behind, v.Copies()) {
 			return false
 		}
 	}
 	return len(v.Realm.Stores) > 0
 }
+
+// minor: some machines of a set are less than a majority of any key's holders, and
+// the others a majority of them.
+func minor(set, some []spec.Machine, copies int) bool {
+	return len(some) == 0 || realm.Worst(set, some, copies)*2 < min(copies, len(set))
+}
--- /dev/null
+++ b/coord/core/form.go
@@ -0,0 +1,170 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"damsontiller/coord/realm"
+	"damsontiller/proto/reg"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// The first set is formed once. Every founder gives its identity, and version 1
+// is chosen only by all of them: whatever is chosen is then on every founder's
+// disk. One that loses its disk meanwhile comes with another identity, and any
+// set that it could found with the others needs their word too, which is given
+// already. So no two first sets can be, unless every founder's disk is lost.
+
+// founder is where one of the first cores is; id is empty where only the address
+// is told.
+type founder struct{ addr, id string }
+
+// founders are all who must agree to the first set; none where this machine is not
+// one of them.
+func (c *Core) founders() []founder {
+	var out []founder
+	if c.p.Bootstrap {
+		for _, m := range c.p.Cores {
+			out = append(out, founder{m.Addr, m.ID})
+		}
+		return out
+	}
+	if slices.Contains(c.p.Found, c.Peer.Self.Addr) {
+		for _, a := range c.p.Found {
+			out = append(out, founder{addr: a})
+		}
+	}
+	return out
+}
+
+// form makes the first set, or finds the one that stands. Each founder must be
+// empty and forming as well, or already belong to a set.
+func (c *Core) form(ctx context.Context) error {
+	fs := c.founders()
+	me := slices.IndexFunc(fs, func(f founder) bool { return f.addr == c.Peer.Self.Addr })
+	for try := 0; ; try++ {
+		set, err := c.meet(ctx, fs)
+		if err != nil {
+			return err
+		}
+		if c.Realm.Now().Ver > 0 {
+			return nil
+		}
+		if set != nil {
+			c.Realm.Boot(set)
+			// One proposes at a time, in the list's order, or they beat down each
+			// other's ballots; the later ones only if the earlier ones don't.
+			if try%max(len(fs), 1) == me {
+				if err := c.first(ctx, set); err != nil {
+					c.Log.Info("first set not chosen yet", "err", err)
+				} else {
+					return nil
+				}
+			}
+		}
+		if try%40 == 0 {
+			c.Log.Info("forming, waiting for every founder", "founders", len(fs))
+		}
+		if !loop.Wait(ctx, 100*time.Millisecond) {
+			return code.New(code.CoreAway, "the set was not formed: %w", ctx.Err())
+		}
+	}
+}
+
+// meet asks every founder who it is. It gives the set only where all are there
+// and none belongs to a set yet; a set that stands is put in force here.
+func (c *Core) meet(ctx context.Context, fs []founder) ([]spec.Machine, error) {
+	type met struct {
+		i int
+		h *wire.HelloAck
+	}
+	ch := make(chan met, len(fs))
+	for i, f := range fs {
+		go func() {
+			if f.addr == c.Peer.Self.Addr {
+				ch <- met{i, &wire.HelloAck{Self: c.Peer.Member(0)}}
+				return
+			}
+			h, err := c.Hello(ctx, f.addr)
+			if err != nil {
+				h = nil
+			}
+			ch <- met{i, h}
+		}()
+	}
+	set := make([]spec.Machine, len(fs))
+	whole := true
+	for range fs {
+		m := <-ch
+		f := fs[m.i]
+		if m.h == nil {
+			whole = false
+			continue
+		}
+		s := m.h.Self
+		if f.id != "" && s.GetId() != f.id {
+			return nil, code.New(code.NotBootable, "%s says it is %q, the settings say %q", f.addr, s.GetId(), f.id)
+		}
+		if m.h.Formed {
+			if err := c.Realm.Apply(m.h.RealmVer, m.h.Realm); err != nil {
+				return nil, err
+			}
+			whole = false
+			continue
+		}
+		if s.GetRole() != "core" || s.GetIdent() == "" {
+			whole = false
+			continue
+		}
+		set[m.i] = spec.Machine{ID: s.Id, Addr: f.addr, Zone: s.Zone, Ident: s.Ident}
+	}
+	if v := c.Realm.Now(); v.Ver > 0 {
+		// An operator who lists the set by name means this machine to be in it;
+		// found by address alone it joins as a stranger and is taken in.
+		if c.p.Bootstrap && !slices.ContainsFunc(v.Realm.Cores, func(m spec.Machine) bool { return m.Ident == c.Peer.Ident() }) {
+			return nil, code.New(code.NotBootable, "a set stands already and does not know this identity: start without -bootstrap and have it admitted")
+		}
+		return nil, nil
+	}
+	if !whole {
+		return nil, nil
+	}
+	return set, nil
+}
+
+// first proposes version 1 to all founders; whichever machine is first, the others
+// find it.
+func (c *Core) first(ctx context.Context, set []spec.Machine) error {
+	re := spec.Realm{Cores: set, Stores: c.p.Stores, Copies: c.p.Copies, Tended: !c.p.Bootstrap}
+	if c.p.Spec != nil {
+		re.Spec = *c.p.Spec
+	} else {
+		re.Spec = spec.Bare(c.p.Zones)
+	}
+	raw, err := re.MarshalJSON()
+	if err != nil {
+		return err
+	}
+	// A group each: all of them are then the only quorum.
+	var all reg.Set
+	for _, m := range set {
+		all = append(all, []reg.Replica{{Addr: m.Addr, Ident: m.Ident}})
+	}
+	ctx, stop := context.WithTimeout(ctx, time.Second)
+	defer stop()
+	st, err := c.Prop.Change(ctx, all, realm.Key, func(s reg.State) ([]byte, bool, error) {
+		if s.Ver > 0 {
+			return nil, false, realm.ErrSame
+		}
+		return raw, false, nil
+	})
+	if err != nil && !errors.Is(err, realm.ErrSame) {
+		return err
+	}
+	return c.Realm.Apply(st.Ver, st.Val)
+}
--- /dev/null
+++ b/coord/core/letgo.go
@@ -0,0 +1,40 @@
+package core
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"damsontiller/coord/node"
+	"damsontiller/xport/loop"
+)
+
+// LetGo watches for the word that this machine's identity was let go: another took
+// its place while it was away. Where the sets look after themselves it then goes on
+// as the stranger that it is, empty and under a new identity, and is taken in again.
+// A machine that operators sent away keeps its data as it is.
+func LetGo(ctx context.Context, n *node.Node, d Disk, forget func()) {
+	loop.Every(ctx, 5*time.Second, n.Realm.Watch(), func(context.Context) {
+		v, was := n.Realm.Now(), n.Peer.Ident()
+		if !v.Tended || !slices.Contains(v.Used, was) || slices.Contains(v.Retired, n.Peer.Self.Id) {
+			return
+		}
+		// What is under way ends first; from then on nobody reaches the old identity.
+		n.Gate.Lock()
+		defer n.Gate.Unlock()
+		n.Peer.SetIdent("")
+		if err := d.Renew("the identity was let go"); err != nil {
+			n.Log.Error("no new identity", "err", err)
+			return
+		}
+		if forget != nil {
+			forget()
+		}
+		if err := Keep(d.Note)(v.Raw(), v.Ver); err != nil {
+			n.Log.Error("spec not kept", "err", err)
+		}
+		n.Peer.SetIdent(d.Ident())
+		n.Log.Warn("let go, back as a stranger", "was", was, "ident", d.Ident())
+		n.Lic.Poke()
+	})
+}
--- /dev/null
+++ b/coord/core/mend.go
@@ -0,0 +1,363 @@
+package core
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"damsontiller/coord/realm"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+)
+
+// Sets that look after themselves: the first live core compares each set with the
+// machines that are there, and changes it by one step at a time. A machine that is
+// silent is never let go for that alone, for it may come back with what it holds;
+// only a newcomer takes its place. So a set never gets smaller, unless an operator
+// retires a store.
+
+const (
+	// dead is the silence after which a newcomer may take a machine's place.
+	dead = 2 * time.Second
+	// still is for how long no new store has come when the first set of them is made
+	// of those that are there, be they few; soon, where they are enough.
+	still = time.Second
+	soon  = 150 * time.Millisecond
+	// alone is the same for so few that the loss of one would lose what it keeps.
+	alone = 5 * time.Second
+	// again is when a set's duty looks again at what it waits for.
+	again = 100 * time.Millisecond
+)
+
+// roles are the members' words for the machines of each set.
+var roles = map[string]string{cores: "core", stores: "store"}
+
+// heard lets the duty look at once where a renewal shows something new.
+func (c *Core) heard(v *realm.View, m *wire.Member) {
+	for set, role := range roles {
+		p, _ := pairOf(&v.Realm, set)
+		if m.GetRole() == role && !has(*p.now, m.Ident) && !has(*p.next, m.Ident) {
+			if role == "store" && c.unmet(m.Ident) {
+				c.came.Store(time.Now().UnixNano())
+			}
+			c.kicks[set].Poke()
+		}
+		// A confirmation may be the last that a change waits for.
+		if len(*p.next) > 0 {
+			c.kicks[set].Poke()
+		}
+	}
+}
+
+// unmet tells whether an identity is heard of for the first time.
+func (c *Core) unmet(ident string) bool {
+	_, old := c.met.LoadOrStore(ident, true)
+	return !old
+}
+
+// tend brings a set further.
+func (c *Core) tend(ctx context.Context, set string) {
+	v := c.Realm.Now()
+	p, _ := pairOf(&v.Realm, set)
+	if !v.Tended && len(*p.next) == 0 || !c.leads() {
+		return
+	}
+	if v.Tended {
+		want, wait := c.wanted(ctx, v, set)
+		switch {
+		case wait:
+			time.AfterFunc(again, c.kicks[set].Poke)
+		case len(*p.next) == 0 && !slices.Equal(want, *p.now),
+			len(*p.next) > 0 && !slices.Equal(want, *p.next) && c.stuck(ctx, v, *p.now, *p.next):
+			c.turn(ctx, set, *p.now, *p.next, want)
+			return
+		}
+	}
+	if len(*p.next) > 0 {
+		c.move(ctx, v, set)
+		time.AfterFunc(again, c.kicks[set].Poke)
+	}
+}
+
+// turn begins a change of a set, or aims one that can't end elsewhere.
+func (c *Core) turn(ctx context.Context, set string, now, next, want []spec.Machine) {
+	ctx, stop := context.WithTimeout(ctx, 3*time.Second)
+	defer stop()
+	ver, raw, err := c.Realm.Change(ctx, 0, func(r *spec.Realm) error {
+		p, err := pairOf(r, set)
+		if err != nil {
+			return err
+		}
+		if !slices.Equal(*p.now, now) || !slices.Equal(*p.next, next) {
+			return realm.ErrSame
+		}
+		for _, m := range want {
+			if slices.Contains(r.Used, m.Ident) {
+				return realm.ErrSame
+			}
+		}
+		switch {
+		case len(now) == 0:
+			// Nothing has ever been kept, so there is nothing to move.
+			*p.now = want
+		case slices.Equal(want, now):
+			p.aim(r, nil)
+		default:
+			p.aim(r, want)
+		}
+		return nil
+	})
+	if err != nil {
+		if !errors.Is(err, realm.ErrSame) {
+			c.Log.Warn("set not changed", "set", set, "err", err)
+		}
+		return
+	}
+	c.Log.Info("set changes", "set", set, "version", ver, "from", ids(now), "to", ids(want))
+	c.tell(ctx, ver, raw)
+}
+
+func ids(ms []spec.Machine) []string {
+	out := []string{}
+	for _, m := range ms {
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+// wanted is the set as it should be. It tells to wait where that can't be said yet.
+func (c *Core) wanted(ctx context.Context, v *realm.View, set string) (want []spec.Machine, wait bool) {
+	p, _ := pairOf(&v.Realm, set)
+	want = slices.Clone(*p.now)
+	var come []*wire.Member
+	for _, m := range c.table.List() {
+		if m.Role != roles[set] || !m.Live || m.Ident == "" || has(want, m.Ident) || slices.Contains(v.Used, m.Ident) ||
+			set == stores && slices.Contains(v.Retired, m.Id) {
+			continue
+		}
+		come = append(come, m)
+	}
+	if set == stores {
+		if len(want) == 0 {
+			return c.begin(v, come)
+		}
+		want = leave(want, v.Retired, v.Copies())
+	}
+	if len(come) == 0 {
+		return want, false
+	}
+	// An identity that is newer at the same place stands for it; of two at one place
+	// the later start is meant.
+	slices.SortFunc(come, func(a, b *wire.Member) int {
+		return cmp.Or(cmp.Compare(a.Id, b.Id), -cmp.Compare(a.Inc, b.Inc))
+	})
+	var rest []*wire.Member
+	for _, m := range come {
+		i := slices.IndexFunc(want, func(s spec.Machine) bool { return s.Addr == m.Addr })
+		switch {
+		case i >= 0 && !has(*p.now, want[i].Ident):
+		case i >= 0:
+			want[i] = machine(m)
+		default:
+			rest = append(rest, m)
+		}
+	}
+	if len(rest) == 0 {
+		return want, false
+	}
+	// Who of the set is away? What a renewal told long ago is asked for again, so
+	// that a core that was itself out of reach takes nobody for dead.
+	gone, doubt := c.away(ctx, *p.now, want)
+	for _, m := range rest {
+		if i := slices.IndexFunc(want, func(s spec.Machine) bool { return s.ID == m.Id }); i >= 0 {
+			// Its name is in the set, at an address where it was before.
+			if gone[want[i].Ident] {
+				want[i] = machine(m)
+			} else {
+				wait = wait || doubt[want[i].Ident]
+			}
+			continue
+		}
+		if len(doubt) > 0 {
+			return nil, true
+		}
+		i := slices.IndexFunc(want, func(s spec.Machine) bool { return gone[s.Ident] && s.Zone == m.Zone })
+		if i < 0 {
+			i = slices.IndexFunc(want, func(s spec.Machine) bool { return gone[s.Ident] })
+		}
+		if i >= 0 {
+			want[i] = machine(m)
+		} else {
+			want = append(want, machine(m))
+		}
+	}
+	return want, wait
+}
+
+func machine(m *wire.Member) spec.Machine {
+	return spec.Machine{ID: m.Id, Addr: m.Addr, Zone: m.Zone, Ident: m.Ident}
+}
+
+// leave takes out the stores that are retired, as long as enough are left.
+func leave(set []spec.Machine, retired []string, copies int) []spec.Machine {
+	for _, id := range retired {
+		if i := slices.IndexFunc(set, func(m spec.Machine) bool { return m.ID == id }); i >= 0 && len(set) > copies {
+			set = slices.Delete(set, i, i+1)
+		}
+	}
+	return set
+}
+
+// begin is the first set of stores: all that are there once they are enough, or once
+// no more come.
+func (c *Core) begin(v *realm.View, come []*wire.Member) ([]spec.Machine, bool) {
+	if len(come) == 0 {
+		return nil, false
+	}
+	var want []spec.Machine
+	zones := map[string]bool{}
+	for _, m := range come {
+		// Of two at one place the later start is meant.
+		if i := slices.IndexFunc(want, func(s spec.Machine) bool { return s.ID == m.Id || s.Addr == m.Addr }); i >= 0 {
+			want[i] = machine(m)
+			continue
+		}
+		want = append(want, machine(m))
+		zones[m.Zone] = true
+	}
+	n := v.Copies()
+	need := alone
+	if len(want) >= n && len(zones) >= min(n, len(v.Spec.Zones)) {
+		need = soon
+	} else if len(want)*2 > n {
+		need = still
+	}
+	return want, time.Since(time.Unix(0, c.came.Load())) < need
+}
+
+// away tells by identity which machines of a set are gone, and which may be: they
+// don't answer, but not for long enough.
+func (c *Core) away(ctx context.Context, now, want []spec.Machine) (gone, doubt map[string]bool) {
+	silent := map[string]time.Duration{}
+	for _, m := range c.table.List() {
+		if d := time.Duration(m.SilentMs) * time.Millisecond; m.Ident != "" {
+			if o, ok := silent[m.Ident]; !ok || d < o {
+				silent[m.Ident] = d
+			}
+		}
+	}
+	type answer struct {
+		ident string
+		there bool
+	}
+	ch := make(chan answer, len(now))
+	n := 0
+	for _, s := range now {
+		if s.Ident == c.Peer.Ident() || !has(want, s.Ident) {
+			continue
+		}
+		n++
+		go func() {
+			_, err := c.Peer.CallFor(ctx, 300*time.Millisecond, s.Addr, &wire.Req{Ident: s.Ident, Op: &wire.Req_Hello{Hello: &wire.Hello{}}})
+			ch <- answer{s.Ident, err == nil}
+		}()
+	}
+	gone, doubt = map[string]bool{}, map[string]bool{}
+	for range n {
+		a := <-ch
+		// One never heard of by this core is in doubt for as long as it has run.
+		d, ok := silent[a.ident]
+		if !ok {
+			d = time.Since(c.began)
+		}
+		switch {
+		case a.there:
+		case d >= dead:
+			gone[a.ident] = true
+		default:
+			doubt[a.ident] = true
+		}
+	}
+	return gone, doubt
+}
+
+// stuck: a change waits for a machine that will not bring it to an end, because it
+// is gone or has come back as another.
+func (c *Core) stuck(ctx context.Context, v *realm.View, now, next []spec.Machine) bool {
+	var need []spec.Machine
+	for _, m := range next {
+		if gains(now, next, m, v.Copies()) {
+			need = append(need, m)
+		}
+	}
+	silent := false
+	for _, m := range c.table.List() {
+		if m.Live && slices.ContainsFunc(need, func(s spec.Machine) bool { return s.Addr == m.Addr && s.Ident != m.Ident }) {
+			return true
+		}
+		silent = silent || has(need, m.Ident) && m.SilentMs >= dead.Milliseconds()
+	}
+	if !silent {
+		return false
+	}
+	gone, _ := c.away(ctx, need, need)
+	return len(gone) > 0
+}
+
+// Retire has a store emptied and let go. A repeated order for one that is let go, or
+// is about to be, changes nothing.
+func (c *Core) Retire(ctx context.Context, id string) error {
+	all, err := c.known(ctx)
+	if err != nil {
+		return err
+	}
+	ver, raw, err := c.Realm.Change(ctx, 0, func(r *spec.Realm) error {
+		if slices.Contains(r.Retired, id) {
+			return realm.ErrSame
+		}
+		in := slices.ContainsFunc(slices.Concat(r.Stores, r.NextStores), func(m spec.Machine) bool { return m.ID == id })
+		there, left := false, 0
+		for _, m := range all {
+			there = there || m.Id == id && m.Role == "store"
+			if m.Live && m.Id != id && has(r.Stores, m.Ident) && !slices.Contains(r.Retired, m.Id) {
+				left++
+			}
+		}
+		if !in && !there {
+			return code.New(code.NoMember, "no store %q", id)
+		}
+		if n := realm.Copies(r); in && left < n {
+			return code.New(code.BelowCopies, "%d live machines would be left for %d copies", left, n)
+		}
+		r.Retired = append(r.Retired, id)
+		return nil
+	})
+	switch {
+	case errors.Is(err, realm.ErrSame):
+		return nil
+	case err != nil:
+		return err
+	}
+	c.Log.Info("store is to go", "id", id, "version", ver)
+	c.tell(ctx, ver, raw)
+	return nil
+}
+
+// Retired tells whether a store that is to go holds nothing any more that is needed.
+func (c *Core) Retired(ctx context.Context, id string) (bool, error) {
+	if err := c.Realm.Read(ctx); err != nil {
+		return false, err
+	}
+	v := c.Realm.Now()
+	in := slices.ContainsFunc(slices.Concat(v.Realm.Stores, v.NextStores), func(m spec.Machine) bool { return m.ID == id })
+	if !slices.Contains(v.Retired, id) {
+		if !in {
+			return false, code.New(code.NoMember, "no store %q is to go", id)
+		}
+		return false, nil
+	}
+	return !in, nil
+}
--- a/coord/core/sets.go
+++ b/coord/core/sets.go
@@ -3,18 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"golang.org/x/time/rate"
 
 	"damsontiller/coord/realm"
-	"damsontiller/coord/tier"
 	"damsontiller/coord/web"
-	"damsontiller/proto/reg"
 	"damsontiller/proto/spec"
 	"damsontiller/proto/wire"
 	"damsontiller/xport/code"
@@ -40,14 +37,20 @@
 	For string `json:"for"` // the machine of the set whose place it takes
 }
 
+// The sets' names, as operators write them.
+const (
+	cores  = "cores"
+	stores = "stores"
+)
+
 // pair is a set and the one it changes to, within a realm.
 type pair struct{ now, next *[]spec.Machine }
 
 func pairOf(r *spec.Realm, set string) (pair, error) {
 	switch set {
-	case "stores":
+	case stores:
 		return pair{&r.Stores, &r.NextStores}, nil
-	case "cores":
+	case cores:
 		return pair{&r.Cores, &r.NextCores}, nil
 	}
 	return pair{}, code.New(code.NoPath, "%q is neither stores nor cores", set)
@@ -125,6 +128,8 @@
 			next = append(next, n)
 		}
 		*p.next = next
+		// Whoever is named by an operator is wanted again.
+		r.Retired = slices.DeleteFunc(r.Retired, func(id string) bool { return id == o.ID })
 		return nil
 	}
 	return err
@@ -142,8 +147,11 @@
 	if i < 0 {
 		return code.New(code.NoMember, "%q is not in the set", o.ID)
 	}
-	if len(*p.now) <= realm.Copies {
-		return code.New(code.BelowCopies, "%d machines would be left for %d copies; admit another in its place", len(*p.now)-1, realm.Copies)
+	if n := realm.Copies(r); len(*p.now) <= n {
+		return code.New(code.BelowCopies, "%d machines would be left for %d copies; admit another in its place", len(*p.now)-1, n)
+	}
+	if set == stores && r.Tended {
+		r.Retired = append(r.Retired, o.ID)
 	}
 	*p.next = slices.Delete(slices.Clone(*p.now), i, i+1)
 	return nil
@@ -158,120 +166,145 @@
 	if len(*p.next) == 0 {
 		return code.New(code.BadField, "no change of the %s is under way", set)
 	}
+	p.aim(r, nil)
+	return nil
+}
+
+// aim lets the set change to another than it was changing to, or to none. The old
+// set has been whole all the while, so that costs nothing that anybody has done.
+func (p pair) aim(r *spec.Realm, next []spec.Machine) {
 	for _, m := range *p.next {
-		if !slices.Contains(*p.now, m) {
+		if !slices.Contains(*p.now, m) && !slices.Contains(next, m) {
 			// It has voted: should it ever come back, it must be a stranger.
 			r.Used = append(r.Used, m.Ident)
 		}
 	}
-	*p.next = nil
-	return nil
+	*p.next = next
 }
 
-// move brings a change of a set further. The first live core machine does it;
-// two at it at once would only do the same work twice.
-func (c *Core) move(ctx context.Context) {
-	v := c.Realm.Now()
-	if len(v.NextCores)+len(v.NextStores) == 0 || !c.leads() {
-		return
-	}
-	// While anyone may act on the old set alone, what it writes would be missed.
-	if w, err := c.waiting(ctx, v.Ver, nil); err != nil || len(w) > 0 {
-		c.Log.Info("set change waits", "version", v.Ver, "for", w, "err", err)
-		return
-	}
-	t := &tier.Tier{Peer: c.Peer, Realm: c.Realm, Prop: c.Prop}
-	c.moved.Store(0)
-	for _, set := range []string{"cores", "stores"} {
-		p, _ := pairOf(&v.Realm, set)
-		if len(*p.next) == 0 {
-			continue
-		}
-		if err := c.moveSet(ctx, t, v, set, *p.now); err != nil {
-			c.Log.Warn("set not moved yet", "set", set, "moved", c.moved.Load(), "err", err)
-			continue
+// leads: the first live core machine by id does the sets' duty. Two at it at once
+// would only do the same work twice, so a silent one is soon passed over.
+func (c *Core) leads() bool {
+	for _, m := range c.table.List() {
+		if m.Role == "core" && m.Live && m.SilentMs < silence.Milliseconds() && m.Id < c.Peer.Self.Id && c.votes(m) {
+			return false
 		}
-		c.settle(ctx, set, *p.next)
 	}
+	return c.votes(c.Peer.Member(0)) && c.Lic.Valid()
 }
 
-// leads: the first live core machine by id.
-func (c *Core) leads() bool {
-	for _, m := range c.Lic.Members() {
-		if m.Role == "core" && m.Live && m.Id < c.Peer.Self.Id && c.votes(m) {
-			return false
+// silence is that of a machine which has missed a renewal.
+const silence = 1500 * time.Millisecond
+
+// move brings a change of a set further: once nobody can act on the old set alone,
+// for what he wrote would be missed, the keys are brought to the new set; then it
+// stands alone.
+func (c *Core) move(ctx context.Context, v *realm.View, set string) {
+	p, _ := pairOf(&v.Realm, set)
+	if set == cores {
+		// The spec's is the only register of the cores, and settling writes it to both
+		// sets.
+		if n := c.confirmed(v.Realm.Cores, v.CoreVer); n*2 <= len(v.Realm.Cores) {
+			c.Log.Debug("set change waits", "set", set, "version", v.CoreVer, "confirmed", n)
+			return
+		}
+	} else {
+		if w, err := c.waiting(ctx, v.SetVer, nil); err != nil || len(w) > 0 {
+			c.Log.Info("set change waits", "set", set, "version", v.SetVer, "for", w, "err", err)
+			return
+		}
+		if err := c.fill(ctx, v, *p.now, *p.next); err != nil {
+			c.Log.Info("set not moved yet", "set", set, "moved", c.moved.Load(), "err", err)
+			return
 		}
 	}
-	return true
+	c.settle(ctx, set, *p.now, *p.next)
 }
 
-func (c *Core) moveSet(ctx context.Context, t *tier.Tier, v *realm.View, set string, old []spec.Machine) error {
-	var group []reg.Replica
-	for _, m := range old {
-		group = append(group, reg.Replica{Addr: m.Addr, Ident: m.Ident})
+// confirmed counts the machines of a set that have a version in force. Those refuse
+// whoever deals with them under an older set.
+func (c *Core) confirmed(set []spec.Machine, ver uint64) int {
+	have := map[string]bool{}
+	if c.Realm.Now().Ver >= ver {
+		have[c.Peer.Ident()] = true
 	}
-	keys, err := t.Keys(ctx, group, wire.List_REGISTERS)
-	if err != nil {
-		return err
-	}
-	where := func(string) reg.Set { return v.Cores() }
-	if set == "stores" {
-		where = v.Stores
+	for _, m := range c.table.List() {
+		if m.SpecVer >= ver {
+			have[m.Ident] = true
+		}
 	}
-	err = c.pace(ctx, keys, func(ctx context.Context, k string) error {
-		ctx, stop := context.WithTimeout(ctx, 3*time.Second)
-		defer stop()
-		return c.Prop.Mend(ctx, where(k), k)
-	})
-	if err != nil || set != "stores" {
-		return err
+	n := 0
+	for _, m := range set {
+		if have[m.Ident] {
+			n++
+		}
 	}
-	if keys, err = t.Keys(ctx, group, wire.List_BLOBS); err != nil {
-		return err
+	return n
+}
+
+// gains tells whether keys fall to a machine of the next set that it did not hold.
+func gains(now, next []spec.Machine, m spec.Machine, copies int) bool {
+	if !has(now, m.Ident) {
+		return true
 	}
-	return c.pace(ctx, keys, t.MendBlob)
+	// Where all hold all, nobody else gains; nor where nobody leaves.
+	return len(now) > copies && slices.ContainsFunc(now, func(o spec.Machine) bool {
+		return !slices.ContainsFunc(next, func(n spec.Machine) bool { return n.ID == o.ID && n.Zone == o.Zone })
+	})
 }
 
-// pace does something for each key, a few at a time and bounded a second, so
-// that the traffic hardly feels it.
-func (c *Core) pace(ctx context.Context, keys []string, do func(context.Context, string) error) error {
-	lim := rate.NewLimiter(rate.Limit(max(c.p.MoveRate, 1)), 8)
-	in := make(chan string)
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	var errs []error
-	for range 4 {
-		wg.Go(func() {
-			for k := range in {
-				if err := do(ctx, k); err != nil {
-					mu.Lock()
-					errs = append(errs, err)
-					mu.Unlock()
-					stop()
-					continue
-				}
-				c.moved.Add(1)
-			}
-		})
+func has(set []spec.Machine, ident string) bool {
+	return slices.ContainsFunc(set, func(m spec.Machine) bool { return m.Ident == ident })
+}
+
+// fillWait is how long one call waits for a store to have its keys; it goes on
+// meanwhile.
+const fillWait = 2 * time.Second
+
+// fill has each store of the next set bring what falls to it.
+func (c *Core) fill(ctx context.Context, v *realm.View, now, next []spec.Machine) error {
+	type answer struct {
+		a   *wire.FillAck
+		err error
+	}
+	rate := c.p.MoveRate
+	if v.Tended {
+		// A set that lacks a machine is in more danger than the traffic is in haste.
+		rate = 0
 	}
-	for _, k := range keys {
-		if lim.Wait(ctx) != nil {
-			break
+	ch := make(chan answer, len(next))
+	n := 0
+	for _, m := range next {
+		if !gains(now, next, m, v.Copies()) {
+			continue
 		}
-		in <- k
+		n++
+		go func() {
+			r, err := c.Peer.CallFor(ctx, fillWait+time.Second, m.Addr, &wire.Req{Ident: m.Ident, Op: &wire.Req_Fill{Fill: &wire.Fill{Spec: v.SetVer, Rate: int32(rate)}}})
+			if err != nil {
+				err = fmt.Errorf("%s: %w", m.ID, err)
+			}
+			ch <- answer{r.GetFill(), err}
+		}()
 	}
-	close(in)
-	wg.Wait()
-	if len(errs) > 0 {
-		return errs[0]
+	var keys int64
+	var last error
+	for range n {
+		a := <-ch
+		keys += a.a.GetKeys()
+		switch {
+		case a.err != nil:
+			last = a.err
+		case !a.a.GetWhole():
+			last = code.New(code.SetChanging, "keys are on their way")
+		}
 	}
-	return ctx.Err()
+	c.moved.Store(keys)
+	return last
 }
 
 // settle lets the new set stand alone.
-func (c *Core) settle(ctx context.Context, set string, next []spec.Machine) {
+func (c *Core) settle(ctx context.Context, set string, now, next []spec.Machine) {
 	ctx, stop := context.WithTimeout(ctx, 3*time.Second)
 	defer stop()
 	ver, raw, err := c.Realm.Change(ctx, 0, func(r *spec.Realm) error {
@@ -280,11 +313,11 @@
 			return err
 		}
 		// Abandoned or changed meanwhile: what was moved was for another set.
-		if !slices.Equal(*p.next, next) {
+		if !slices.Equal(*p.next, next) || !slices.Equal(*p.now, now) {
 			return realm.ErrSame
 		}
 		for _, m := range *p.now {
-			if !slices.ContainsFunc(next, func(n spec.Machine) bool { return n.Ident == m.Ident }) {
+			if !has(next, m.Ident) {
 				r.Used = append(r.Used, m.Ident)
 			}
 		}
@@ -297,6 +330,12 @@
 		}
 		return
 	}
-	c.Log.Info("set changed", "set", set, "version", ver)
-	c.spread(ctx, ver, raw)
+	c.Log.Info("set changed", "set", set, "version", ver, "machines", len(next), "moved", c.moved.Load())
+	c.tell(ctx, ver, raw)
+}
+
+// tell sends a version down the tree while the duty goes on.
+func (c *Core) tell(ctx context.Context, ver uint64, raw []byte) {
+	ctx = context.WithoutCancel(ctx)
+	c.Go(ctx, func(ctx context.Context) { c.spread(ctx, ver, raw) })
 }
--- a/coord/licence/holder.go
+++ b/coord/licence/holder.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -34,14 +36,15 @@
 	mu      sync.Mutex
 	asked   time.Time // before the last renewal that a majority granted
 	members []*wire.Member
-	sum     uint64
+	from    *roster // whose list members is
+	rosters map[reg.Replica]*roster
 	// Status goes with each renewal, for operators to see.
 	Status func() string
 }
 
 // NewHolder makes a holder; Run renews.
 func NewHolder(p Params, pr *peer.Peer, r *realm.Realm) *Holder {
-	return &Holder{p: p, peer: pr, realm: r, kick: r.Watch()}
+	return &Holder{p: p, peer: pr, realm: r, kick: r.Watch(), rosters: map[reg.Replica]*roster{}}
 }
 
 // Run renews until ctx ends. A new spec in force renews at once, which
@@ -50,6 +53,9 @@
 	loop.Every(ctx, h.p.Renew, h.kick, func(ctx context.Context) { h.Renew(ctx) })
 }
 
+// Poke renews at once: something about this node has changed.
+func (h *Holder) Poke() { h.kick.Poke() }
+
 // Renew asks every core machine once; it tells whether a majority granted.
 func (h *Holder) Renew(ctx context.Context) bool {
 	v := h.realm.Now()
@@ -60,39 +66,41 @@
 	}
 	// The holder counts from before it asked, the core from after it granted.
 	asked := time.Now()
-	h.mu.Lock()
-	sum := h.sum
-	h.mu.Unlock()
 	self := h.peer.Member(v.Ver)
 	if h.Status != nil {
 		self.Status = h.Status()
 	}
-	ctx, stop := context.WithTimeout(ctx, h.p.Lasts/2)
-	defer stop()
+	cctx, stop := context.WithTimeout(ctx, h.p.Lasts/2)
 	type answer struct {
 		r reg.Replica
 		a *wire.RenewAck
 	}
 	ch := make(chan answer, len(cores))
+	var wg sync.WaitGroup
 	for _, c := range cores {
-		go func() {
-			r, err := h.peer.Call(ctx, c.Addr, &wire.Req{Ident: c.Ident, Op: &wire.Req_Renew{Renew: &wire.Renew{Self: self, MembersSum: sum}}})
+		wg.Go(func() {
+			r, err := h.peer.Call(cctx, c.Addr, &wire.Req{Ident: c.Ident, Op: &wire.Req_Renew{Renew: h.ask(c, self)}})
 			if err != nil {
 				ch <- answer{c, nil}
 				return
 			}
+			// The slowest core's list is kept up as well, or all of it would come
+			// again each time.
+			h.hear(c, r.GetRenew())
 			ch <- answer{c, r.GetRenew()}
-		}()
+		})
 	}
+	go func() {
+		wg.Wait()
+		stop()
+	}()
 	have, behind := map[reg.Replica]bool{}, false
-	var lists []*wire.RenewAck
 	for range cores {
 		a := <-ch
 		if a.a == nil {
 			continue
 		}
 		have[a.r] = true
-		lists = append(lists, a.a)
 		behind = behind || a.a.SpecVer > v.Ver
 		if set.Quorum(have) {
 			break
@@ -103,43 +111,99 @@
 	}
 	h.mu.Lock()
 	h.asked = asked
-	h.take(lists)
+	h.take(cores, have)
 	h.mu.Unlock()
 	if behind {
 		// News should have come down the tree; a core that knows better sends
 		// us to the register itself.
-		if err := h.realm.Read(ctx); err != nil {
+		rctx, rstop := context.WithTimeout(ctx, h.p.Lasts/2)
+		defer rstop()
+		if err := h.realm.Read(rctx); err != nil {
 			h.peer.Log.Warn("newer spec can't be read", "err", err)
 		}
 	}
 	return true
 }
 
-// take keeps the list of the core that hears most: one that has just come
-// back knows few members yet.
-func (h *Holder) take(lists []*wire.RenewAck) {
-	var best *wire.RenewAck
-	for _, a := range lists {
-		if best == nil || live(a.Members) > live(best.Members) {
-			best = a
+// roster is what this node has heard of one core machine's list.
+type roster struct {
+	table, seen uint64
+	all         map[string]*wire.Member
+	list        []*wire.Member // of all, by id; made anew when all changes
+	live        int
+}
+
+// ask makes the renewal for one core machine.
+func (h *Holder) ask(c reg.Replica, self *wire.Member) *wire.Renew {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	q := &wire.Renew{Self: self}
+	if o := h.rosters[c]; o != nil {
+		q.Table, q.Seen = o.table, o.seen
+	}
+	return q
+}
+
+// hear takes a core machine's list, or what changed in it.
+func (h *Holder) hear(c reg.Replica, a *wire.RenewAck) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	o := h.rosters[c]
+	switch {
+	case o != nil && o.table != 0 && o.table == a.Table && a.Seen <= o.seen:
+		// Nothing new, or overtaken by a later answer.
+		return
+	case !a.Part:
+		o = &roster{all: make(map[string]*wire.Member, len(a.Members))}
+		h.rosters[c] = o
+	case o == nil || o.table != a.Table:
+		// Of a start that is over.
+		return
+	}
+	o.table, o.seen = a.Table, a.Seen
+	for _, m := range a.Members {
+		o.all[key(m)] = m
+	}
+	o.list, o.live = make([]*wire.Member, 0, len(o.all)), 0
+	sum := uint64(0)
+	for _, m := range o.all {
+		o.list = append(o.list, m)
+		sum += mark(m)
+		if m.Live {
+			o.live++
 		}
 	}
-	if best != nil {
-		h.members, h.sum = best.Members, best.MembersSum
+	sort.Slice(o.list, func(i, j int) bool { return key(o.list[i]) < key(o.list[j]) })
+	if a.Part && sum != a.MembersSum {
+		// Never seen; should it be, the whole list is asked for next.
+		h.peer.Log.Warn("list of members does not add up", "core", c.Addr)
+		o.table = 0
 	}
 }
 
-func live(ms []*wire.Member) int {
-	n := 0
-	for _, m := range ms {
-		if m.Live {
-			n++
+// take keeps the list of the core that hears most of those that granted: one that
+// has just come back knows few members yet.
+func (h *Holder) take(cores []reg.Replica, have map[reg.Replica]bool) {
+	var best *roster
+	for _, c := range cores {
+		o := h.rosters[c]
+		if have[c] && o != nil && (best == nil || o.live > best.live || o.live == best.live && o == h.from) {
+			best = o
+		}
+	}
+	if best != nil {
+		h.members, h.from = best.list, best
+	}
+	for c := range h.rosters {
+		if !slices.Contains(cores, c) {
+			delete(h.rosters, c)
 		}
 	}
-	return n
 }
 
-// Members is the list as last granted; it must not be changed.
+// Members is the list as last granted; it must not be changed. It says who is live,
+// not which spec each has confirmed or for how long it has been silent: that goes to
+// the cores only.
 func (h *Holder) Members() []*wire.Member {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/coord/licence/licence_test.go
@@ -0,0 +1,185 @@
+package licence
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"damsontiller/coord/peer"
+	"damsontiller/coord/realm"
+	"damsontiller/proto/reg"
+	"damsontiller/proto/wire"
+	"damsontiller/xport"
+	"damsontiller/xport/memnet"
+)
+
+func node(i int) *wire.Member {
+	return &wire.Member{Id: fmt.Sprintf("n%04d", i), Role: "edge", Addr: fmt.Sprintf("10.0.%d.%d:7100", i/200, i%200), Http: fmt.Sprintf("10.0.%d.%d:7200", i/200, i%200), Zone: "a", Inc: 1, SpecVer: 1}
+}
+
+func table(t interface{ Fatal(...any) }, noted map[string][]byte) *Table {
+	out, err := NewTable(DefaultParams, noted, func(string, []byte) error { return nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func renew(t interface{ Fatal(...any) }, tb *Table, q *wire.Renew) *wire.RenewAck {
+	r, err := tb.Grant(nil, &wire.Req{Op: &wire.Req_Renew{Renew: q}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.GetRenew()
+}
+
+// TestAnswerSize: what a renewal is answered with does not grow with the nodes
+// there are, whatever time passes, but with those that came or went.
+func TestAnswerSize(t *testing.T) {
+	sizes := map[int][2]int{}
+	for _, n := range []int{12, 450, 2000} {
+		synctest.Test(t, func(t *testing.T) {
+			tb := table(t, nil)
+			for i := range n {
+				renew(t, tb, &wire.Renew{Self: node(i)})
+			}
+			first := renew(t, tb, &wire.Renew{Self: node(0)})
+			if first.Part || len(first.Members) != n {
+				t.Fatalf("the first answer has %d of %d members, part %v", len(first.Members), n, first.Part)
+			}
+			for range 5 {
+				time.Sleep(time.Second)
+				for i := range n {
+					m := node(i)
+					m.SpecVer = uint64(time.Now().Unix())
+					renew(t, tb, &wire.Renew{Self: m, Table: first.Table, Seen: first.Seen})
+				}
+			}
+			same := renew(t, tb, &wire.Renew{Self: node(0), Table: first.Table, Seen: first.Seen})
+			if len(same.Members) != 0 || same.Seen != first.Seen {
+				t.Errorf("%d nodes: nothing came or went, and %d are told", n, len(same.Members))
+			}
+			// One starts anew, one is silent.
+			again := node(3)
+			again.Inc = 2
+			renew(t, tb, &wire.Renew{Self: again})
+			time.Sleep(DefaultParams.Lasts - 500*time.Millisecond)
+			for i := range n {
+				if m := node(i); i != 5 {
+					if i == 3 {
+						m = again
+					}
+					renew(t, tb, &wire.Renew{Self: m})
+				}
+			}
+			time.Sleep(time.Second)
+			two := renew(t, tb, &wire.Renew{Self: node(0), Table: first.Table, Seen: first.Seen})
+			if !two.Part || len(two.Members) != 2 || two.Members[0].Id != "n0005" || two.Members[0].Live || two.Members[1].Inc != 2 {
+				t.Errorf("%d nodes: after two changes: %v", n, two.Members)
+			}
+			sizes[n] = [2]int{proto.Size(same), proto.Size(two)}
+		})
+	}
+	if a, b := sizes[12], sizes[2000]; b[0] > a[0]+4 || b[1] > a[1]+8 {
+		t.Errorf("answers grow with the nodes: %v", sizes)
+	}
+}
+
+// TestListFollows: whatever answers are lost or overtake each other, nodes come,
+// go and start anew, and the core machine starts anew, a node's list is what the
+// table shows as soon as an answer has come through.
+func TestListFollows(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) {
+			core := reg.Replica{Addr: "c", Ident: "i"}
+			h := NewHolder(DefaultParams, peer.New(&wire.Member{Id: "me", Addr: "m"}, memnet.New(1).Host("m"), xport.DefaultParams, hclog.NewNullLogger()), realm.New(nil, nil))
+			tb, notes := table(rt, nil), map[string][]byte{}
+			tb.note = func(k string, b []byte) error { notes[k] = b; return nil }
+			me := node(9999)
+			incs := map[int]uint64{}
+			var late []*wire.RenewAck
+			follow := func() {
+				h.hear(core, renew(rt, tb, h.ask(core, me)))
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				h.take([]reg.Replica{core}, map[reg.Replica]bool{core: true})
+				want := tb.List()
+				if len(want) != len(h.members) {
+					rt.Fatalf("%d listed, %d in the table", len(h.members), len(want))
+				}
+				for i, w := range want {
+					if m := h.members[i]; m.Id != w.Id || m.Inc != w.Inc || m.Live != w.Live || m.Addr != w.Addr || m.Ident != w.Ident || m.Status != w.Status {
+						rt.Fatalf("listed %v, in the table %v", m, w)
+					}
+				}
+			}
+			for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+				i := rapid.IntRange(0, 12).Draw(rt, "node")
+				m := node(i)
+				m.Inc += incs[i]
+				switch rapid.SampledFrom([]string{"renew", "anew", "status", "wait", "late", "hear late", "restart", "follow"}).Draw(rt, "step") {
+				case "renew":
+					renew(rt, tb, &wire.Renew{Self: m})
+				case "anew":
+					incs[i]++
+					m.Inc++
+					renew(rt, tb, &wire.Renew{Self: m})
+				case "status":
+					m.Status = rapid.SampledFrom([]string{"", "disk is slow"}).Draw(rt, "status")
+					renew(rt, tb, &wire.Renew{Self: m})
+				case "wait":
+					time.Sleep(time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond)
+				case "late":
+					late = append(late, renew(rt, tb, h.ask(core, me)))
+				case "hear late":
+					if len(late) > 0 {
+						n := rapid.IntRange(0, len(late)-1).Draw(rt, "which")
+						h.hear(core, late[n])
+						late = append(late[:n], late[n+1:]...)
+					}
+				case "restart":
+					note := tb.note
+					tb = table(rt, notes)
+					tb.note = note
+				case "follow":
+					follow()
+				}
+			}
+			follow()
+			if o := h.rosters[core]; o.table != tb.id {
+				rt.Fatalf("the list did not add up")
+			}
+		})
+	})
+}
+
+// TestNeighbourWithoutTables: a core machine of the version before gives the whole
+// list each time, and one that is asked by such a node does.
+func TestNeighbourWithoutTables(t *testing.T) {
+	tb := table(t, nil)
+	renew(t, tb, &wire.Renew{Self: node(1)})
+	for range 2 {
+		if a := renew(t, tb, &wire.Renew{Self: node(2), MembersSum: 77}); a.Part || len(a.Members) != 2 {
+			t.Errorf("an older node is told %v", a)
+		}
+	}
+	h := NewHolder(DefaultParams, peer.New(&wire.Member{Id: "me", Addr: "m"}, memnet.New(1).Host("m"), xport.DefaultParams, hclog.NewNullLogger()), realm.New(nil, nil))
+	core := reg.Replica{Addr: "c"}
+	for n := range 3 {
+		a := &wire.RenewAck{LastsMs: 3000, MembersSum: 5}
+		for i := range 3 - n {
+			m := node(i)
+			m.Live = true
+			a.Members = append(a.Members, m)
+		}
+		h.hear(core, a)
+		if o := h.rosters[core]; len(o.list) != 3-n || o.live != 3-n {
+			t.Errorf("of an older core machine's %d members %d are kept", 3-n, len(o.list))
+		}
+	}
+}
--- a/coord/licence/table.go
+++ b/coord/licence/table.go
@@ -1,8 +1,11 @@
 package licence
 
 import (
+	"container/list"
 	"context"
 	"hash/fnv"
+	"io"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -14,11 +17,21 @@
 // Table is a core machine's side: who has asked it, and when last. That a node
 // exists is kept on disk before its first licence is granted, so that no
 // acknowledgement forgets it; when it last renewed is memory only.
+//
+// Each change of what the nodes' lists show has a number. A renewal says up to
+// which number its sender has heard, and is answered with what changed since: what
+// it costs does not grow with the number of nodes.
 type Table struct {
 	p    Params
 	note func(key string, b []byte) error
-	mu   sync.Mutex
-	all  map[string]*entry
+	id   uint64 // of this start of the table
+
+	mu      sync.Mutex
+	all     map[string]*entry
+	sum     uint64     // over what is shown of all
+	last    uint64     // number of the last change
+	changed *list.List // entries, the last changed last
+	renewed *list.List // entries shown as live, the last renewed last
 }
 
 type entry struct {
@@ -26,18 +39,24 @@
 	at time.Time
 	// heard tells a renewal in this run from a note of an earlier one.
 	heard bool
+
+	shown            *wire.Member // never changed once made
+	num              uint64       // of its last change
+	changed, renewed *list.Element
 }
 
 // NewTable makes a table from what was noted on disk before. Every node known
 // counts as heard of now: how long it had been silent is not known.
 func NewTable(p Params, noted map[string][]byte, note func(string, []byte) error) (*Table, error) {
-	t := &Table{p: p, note: note, all: map[string]*entry{}}
+	t := &Table{p: p, note: note, id: rand.Uint64() | 1, all: map[string]*entry{}, changed: list.New(), renewed: list.New()}
 	for _, b := range noted {
 		m := &wire.Member{}
 		if err := wire.Decode(b, m); err != nil {
 			return nil, err
 		}
-		t.all[key(m)] = &entry{m: m, at: time.Now()}
+		e := &entry{m: m, at: time.Now()}
+		t.all[key(m)] = e
+		t.show(e, false)
 	}
 	return t, nil
 }
@@ -47,9 +66,72 @@
 
 func key(m *wire.Member) string { return m.Id + "@" + m.Addr }
 
+// show puts in force what the nodes' lists say of an entry, if it is anything new.
+func (t *Table) show(e *entry, live bool) {
+	m := &wire.Member{Id: e.m.Id, Role: e.m.Role, Addr: e.m.Addr, Http: e.m.Http, Zone: e.m.Zone, Ident: e.m.Ident, Inc: e.m.Inc, Status: e.m.Status, Live: live}
+	if e.shown != nil {
+		if mark(e.shown) == mark(m) {
+			return
+		}
+		t.sum -= mark(e.shown)
+	}
+	t.sum += mark(m)
+	t.last++
+	e.shown, e.num = m, t.last
+	if e.changed == nil {
+		e.changed = t.changed.PushBack(e)
+	} else {
+		t.changed.MoveToBack(e.changed)
+	}
+}
+
+// hear counts a renewal.
+func (t *Table) hear(e *entry) {
+	e.at, e.heard = time.Now(), true
+	if e.renewed == nil {
+		e.renewed = t.renewed.PushBack(e)
+	} else {
+		t.renewed.MoveToBack(e.renewed)
+	}
+	t.show(e, true)
+}
+
+// expire ends the licences that were not renewed.
+func (t *Table) expire() {
+	now := time.Now()
+	for f := t.renewed.Front(); f != nil; f = t.renewed.Front() {
+		e := f.Value.(*entry)
+		if now.Sub(e.at) < t.p.Lasts {
+			return
+		}
+		t.renewed.Remove(f)
+		e.renewed = nil
+		t.show(e, false)
+	}
+}
+
+// mark is a number for what is shown of a member.
+func mark(m *wire.Member) uint64 {
+	h := fnv.New64a()
+	for _, s := range []string{m.Id, m.Role, m.Addr, m.Http, m.Zone, m.Ident, m.Status} {
+		_, _ = io.WriteString(h, s)
+		h.Write([]byte{0})
+	}
+	b := [9]byte{}
+	for i := range 8 {
+		b[i] = byte(m.Inc >> (8 * i))
+	}
+	if m.Live {
+		b[8] = 1
+	}
+	h.Write(b[:])
+	return h.Sum64()
+}
+
 // Grant answers a renewal.
 func (t *Table) Grant(_ context.Context, q *wire.Req) (*wire.Resp, error) {
-	m := q.GetRenew().GetSelf()
+	r := q.GetRenew()
+	m := r.GetSelf()
 	if m.GetId() == "" || m.GetAddr() == "" {
 		return nil, code.New(code.Garbled, "a renewal without id or address")
 	}
@@ -69,15 +151,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e = t.all[key(m)]
-	if e == nil || m.Inc > e.m.Inc || m.Inc == e.m.Inc && m.SpecVer >= e.m.SpecVer {
-		t.all[key(m)] = &entry{m: m, at: time.Now(), heard: true}
-	} else if m.Inc == e.m.Inc {
+	switch {
+	case e == nil:
+		e = &entry{m: m}
+		t.all[key(m)] = e
+		t.hear(e)
+	case m.Inc > e.m.Inc || m.Inc == e.m.Inc && m.SpecVer >= e.m.SpecVer:
+		e.m = m
+		t.hear(e)
+	case m.Inc == e.m.Inc:
 		// Renewals can overtake each other; a confirmation is not taken back.
-		e.at, e.heard = time.Now(), true
+		t.hear(e)
+	}
+	t.expire()
+	a := &wire.RenewAck{LastsMs: t.p.Lasts.Milliseconds(), MembersSum: t.sum, Table: t.id, Seen: t.last}
+	a.Part = r.Table == t.id && r.Seen <= t.last
+	for c := t.changed.Back(); c != nil; c = c.Prev() {
+		e := c.Value.(*entry)
+		if a.Part && e.num <= r.Seen {
+			break
+		}
+		a.Members = append(a.Members, e.shown)
 	}
-	list, sum := t.list()
-	a := &wire.RenewAck{LastsMs: t.p.Lasts.Milliseconds(), MembersSum: sum}
-	a.Members = list
 	return &wire.Resp{Op: &wire.Resp_Renew{Renew: a}}, nil
 }
 
@@ -85,11 +180,6 @@
 func (t *Table) List() []*wire.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l, _ := t.list()
-	return l
-}
-
-func (t *Table) list() ([]*wire.Member, uint64) {
 	now := time.Now()
 	out := make([]*wire.Member, 0, len(t.all))
 	for _, e := range t.all {
@@ -99,13 +189,5 @@
 			SpecVer: m.SpecVer, Status: m.Status, SilentMs: silent.Milliseconds(), Live: e.heard && silent < t.p.Lasts})
 	}
 	sort.Slice(out, func(i, j int) bool { return key(out[i]) < key(out[j]) })
-	h := fnv.New64a()
-	for _, m := range out {
-		h.Write([]byte(key(m)))
-		h.Write([]byte{byte(m.Inc), byte(m.Inc >> 8), 0})
-		if m.Live {
-			h.Write([]byte{1})
-		}
-	}
-	return out, h.Sum64()
+	return out
 }
--- a/coord/news/news.go
+++ b/coord/news/news.go
@@ -2,12 +2,16 @@
 // that is formed anew for each message: the sender splits its targets zone by
 // zone among up to four children, and each child does the same with its share.
 // A child that does not answer is passed over and its share is given to the
-// next in it; a digest with a random peer mends whatever is left.
+// next in it; digests with a few random members mend whatever is left.
 package news
 
 import (
 	"context"
+	"encoding/binary"
+	"hash/fnv"
+	"io"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -24,10 +28,13 @@
 	Step   time.Duration // less of it at each level
 	Least  time.Duration
 	Digest time.Duration
+	// Partners is how many members a node compares digests with, at any one time;
+	// after so many digests (Change) one of them is replaced.
+	Partners, Change int
 }
 
 // DefaultParams are the design's.
-var DefaultParams = Params{Fanout: 4, Wait: 400 * time.Millisecond, Step: 40 * time.Millisecond, Least: 150 * time.Millisecond, Digest: 500 * time.Millisecond}
+var DefaultParams = Params{Fanout: 4, Wait: 400 * time.Millisecond, Step: 40 * time.Millisecond, Least: 150 * time.Millisecond, Digest: 500 * time.Millisecond, Partners: 8, Change: 16}
 
 // Board is what a node has heard.
 type Board struct {
@@ -36,8 +43,12 @@
 	members func() []*wire.Member
 	mu      sync.Mutex
 	all     map[string]*wire.Item
+	sum     uint64 // over the heads of all
 	on      map[string]func(*wire.Item) error
 	queue   sync.Mutex
+	// The digest loop's own.
+	partners []string
+	ticks    int
 }
 
 // New makes a board and answers News and Digest calls on pr.
@@ -76,6 +87,12 @@
 		}
 		if !i.Brief {
 			b.mu.Lock()
+			if old != nil {
+				v, _ := head(old)
+				b.sum -= v
+			}
+			v, _ := head(i)
+			b.sum += v
 			b.all[name(i)] = i
 			b.mu.Unlock()
 		}
@@ -177,22 +194,66 @@
 	return out
 }
 
-// Run compares digests with a random member at each period.
+// Run compares digests with one of a few partners at each period.
 func (b *Board) Run(ctx context.Context) {
 	loop.Every(ctx, b.p.Digest, nil, func(ctx context.Context) {
-		if o := b.others(); len(o) > 0 {
-			b.mend(ctx, o[rand.IntN(len(o))].Addr)
+		if m := b.partner(); m != nil {
+			b.mend(ctx, m.Addr)
 		}
 	})
 }
 
-// mend swaps digests with one peer: it sends what we lack, and we what it does.
+// partner draws one. Partners are a few random members, so that the connections
+// of a node do not grow with their number; now and then one is replaced, so that
+// in time every two nodes compare.
+func (b *Board) partner() *wire.Member {
+	o := b.others()
+	at := map[string]*wire.Member{}
+	for _, m := range o {
+		at[m.Id] = m
+	}
+	b.partners = slices.DeleteFunc(b.partners, func(id string) bool { return at[id] == nil })
+	if b.ticks++; b.ticks%max(b.p.Change, 1) == 0 && len(b.partners) > 0 {
+		b.partners = b.partners[1:]
+	}
+	for n := min(max(b.p.Partners, 1), len(o)); len(b.partners) < n; {
+		if m := o[rand.IntN(len(o))]; !slices.Contains(b.partners, m.Id) {
+			b.partners = append(b.partners, m.Id)
+		}
+	}
+	if len(b.partners) == 0 {
+		return nil
+	}
+	return at[b.partners[rand.IntN(len(b.partners))]]
+}
+
+// mend makes this board and a peer's alike. What it says grows with what differs,
+// not with what there is: first the sum of all heads, then, if it differs, the sums
+// of buckets, then the heads in those buckets.
 func (b *Board) mend(ctx context.Context, addr string) {
-	r, err := b.peer.CallFor(ctx, b.p.Digest, addr, &wire.Req{Op: &wire.Req_Digest{Digest: &wire.Digest{Heads: b.heads()}}})
+	r, err := b.peer.CallFor(ctx, b.p.Digest, addr, &wire.Req{Op: &wire.Req_Digest{Digest: &wire.Digest{Ask: true, Sum: b.total()}}})
 	if err != nil {
 		return
 	}
 	b.Take(r.GetDigest().GetItems())
+	theirs := r.GetDigest().GetSums()
+	if len(theirs) == 0 {
+		return
+	}
+	q := &wire.Digest{Of: uint32(len(theirs))}
+	for i, s := range b.sums(len(theirs)) {
+		if s != theirs[i] {
+			q.Buckets = append(q.Buckets, uint32(i))
+		}
+	}
+	if len(q.Buckets) == 0 {
+		return
+	}
+	q.Heads = b.heads(q)
+	if r, err = b.peer.CallFor(ctx, b.p.Digest, addr, &wire.Req{Op: &wire.Req_Digest{Digest: q}}); err != nil {
+		return
+	}
+	b.Take(r.GetDigest().GetItems())
 	var lack []*wire.Item
 	for _, w := range r.GetDigest().GetWant() {
 		if i := b.Head(w.Topic, w.Key); i != nil {
@@ -204,22 +265,83 @@
 	}
 }
 
-func (b *Board) heads() []*wire.Item {
+// head is a number for an item's name and version, and another for its name alone.
+func head(i *wire.Item) (ver, key uint64) {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, name(i))
+	key = h.Sum64()
+	var v [16]byte
+	binary.BigEndian.PutUint64(v[:], i.Epoch)
+	binary.BigEndian.PutUint64(v[8:], i.Seq)
+	h.Write(v[:])
+	return h.Sum64(), key
+}
+
+func (b *Board) total() uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make([]*wire.Item, 0, len(b.all))
+	return b.sum
+}
+
+// sums adds up the heads of each of n buckets.
+func (b *Board) sums(n int) []uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]uint64, n)
+	for _, i := range b.all {
+		v, k := head(i)
+		out[k%uint64(n)] += v
+	}
+	return out
+}
+
+// asked is which buckets a digest is about.
+func asked(q *wire.Digest) func(*wire.Item) bool {
+	if len(q.Buckets) == 0 || q.Of == 0 {
+		return func(*wire.Item) bool { return true }
+	}
+	in := map[uint32]bool{}
+	for _, n := range q.Buckets {
+		in[n] = true
+	}
+	return func(i *wire.Item) bool {
+		_, k := head(i)
+		return in[uint32(k%uint64(q.Of))]
+	}
+}
+
+func (b *Board) heads(q *wire.Digest) []*wire.Item {
+	in := asked(q)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*wire.Item
 	for _, i := range b.all {
-		out = append(out, &wire.Item{Topic: i.Topic, Key: i.Key, Epoch: i.Epoch, Seq: i.Seq})
+		if in(i) {
+			out = append(out, &wire.Item{Topic: i.Topic, Key: i.Key, Epoch: i.Epoch, Seq: i.Seq})
+		}
 	}
 	return out
 }
 
+// perBucket is how many items share a bucket, on average.
+const perBucket = 8
+
 func (b *Board) digest(_ context.Context, q *wire.Req) (*wire.Resp, error) {
-	a := &wire.DigestAck{}
+	d, a := q.GetDigest(), &wire.DigestAck{}
+	if d.Ask {
+		b.mu.Lock()
+		n, same := len(b.all), d.Sum == b.sum
+		b.mu.Unlock()
+		if !same {
+			a.Sums = b.sums(1 + n/perBucket)
+		}
+		return &wire.Resp{Op: &wire.Resp_Digest{Digest: a}}, nil
+	}
+	in := asked(d)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	theirs := map[string]bool{}
-	for _, h := range q.GetDigest().GetHeads() {
+	for _, h := range d.Heads {
 		theirs[name(h)] = true
 		mine := b.all[name(h)]
 		switch {
@@ -230,7 +352,7 @@
 		}
 	}
 	for n, i := range b.all {
-		if !theirs[n] {
+		if !theirs[n] && in(i) {
 			a.Items = append(a.Items, i)
 		}
 	}
--- a/coord/node/node.go
+++ b/coord/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,15 +44,23 @@
 	Board *news.Board
 	Log   hclog.Logger
 
+	// Gate is held for reading while a request is judged by the sets in force here
+	// and acted upon.
+	Gate sync.RWMutex
+
 	wg sync.WaitGroup
+
+	mu    sync.Mutex
+	seeds []string
 }
 
 // New builds a node; more handlers may be set before Start.
 func New(p Params) *Node {
-	n := &Node{P: p, Log: p.Log}
+	n := &Node{P: p, Log: p.Log, seeds: p.Seeds}
 	n.Peer = peer.New(p.Self, p.Net, p.Xport, p.Log.Named("peer"))
 	n.Prop = reg.NewProposer(n.Peer.Self.Inc, n.Peer.Call)
 	n.Realm = realm.New(n.Prop, p.Keep)
+	n.Realm.Ask = n.ask
 	n.Lic = licence.NewHolder(p.Lic, n.Peer, n.Realm)
 	n.Board = news.New(p.News, n.Peer, n.Lic.Members)
 	n.Board.On("spec", func(i *wire.Item) error { return n.Realm.Apply(i.Seq, i.Body) })
@@ -85,20 +94,70 @@
 // Wait returns once every duty has ended.
 func (n *Node) Wait() { n.wg.Wait() }
 
+// Reseed gives the node other addresses to ask for the realm: those it started
+// with may be gone.
+func (n *Node) Reseed(seeds []string) {
+	n.mu.Lock()
+	n.seeds = seeds
+	n.mu.Unlock()
+}
+
+// Seeds are the addresses asked for the realm.
+func (n *Node) Seeds() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.seeds
+}
+
+// ask asks the seeds and the cores known here for the realm, all at once, and puts
+// the newest in force. It tells whether anybody knew one.
+func (n *Node) ask(ctx context.Context) bool {
+	addrs := slices.Clone(n.Seeds())
+	v := n.Realm.Now()
+	for _, m := range slices.Concat(v.Realm.Cores, v.NextCores) {
+		addrs = append(addrs, m.Addr)
+	}
+	slices.Sort(addrs)
+	addrs = slices.DeleteFunc(slices.Compact(addrs), func(a string) bool { return a == n.Peer.Self.Addr })
+	ch := make(chan *wire.HelloAck, len(addrs))
+	for _, a := range addrs {
+		go func() {
+			h, err := n.Hello(ctx, a)
+			if err != nil {
+				h = nil
+			}
+			ch <- h
+		}()
+	}
+	found := false
+	for range addrs {
+		h := <-ch
+		if !h.GetFormed() {
+			continue
+		}
+		if err := n.Realm.Apply(h.RealmVer, h.Realm); err != nil {
+			n.Log.Warn("realm of a seed not taken", "err", err)
+			continue
+		}
+		found = true
+		if v.Ver == 0 {
+			// Good enough to join with: joining reads it at a majority.
+			break
+		}
+	}
+	return found
+}
+
 // Find learns the realm's voters from the seeds.
 func (n *Node) Find(ctx context.Context) error {
 	for try := 0; ; try++ {
-		for _, s := range n.P.Seeds {
-			if h, err := n.Hello(ctx, s); err == nil && h.GetFormed() {
-				if err := n.Realm.Apply(h.RealmVer, h.Realm); err == nil {
-					return nil
-				}
-			}
+		if n.ask(ctx) {
+			return nil
 		}
-		if try%20 == 0 {
-			n.Log.Info("waiting for a seed that knows the realm", "seeds", n.P.Seeds)
+		if try%40 == 0 {
+			n.Log.Info("waiting for a seed that knows the realm", "seeds", n.Seeds())
 		}
-		if !loop.Wait(ctx, 250*time.Millisecond) {
+		if !loop.Wait(ctx, 100*time.Millisecond) {
 			return code.New(code.CoreAway, "no seed answered: %w", ctx.Err())
 		}
 	}
@@ -118,6 +177,8 @@
 		if try%20 == 0 {
 			n.Log.Info("waiting for a licence", "err", err)
 		}
+		// The cores known here may all be others by now.
+		n.ask(ctx)
 		if !loop.Wait(ctx, 250*time.Millisecond) {
 			return code.New(code.CoreAway, "no licence: %w", ctx.Err())
 		}
@@ -127,5 +188,14 @@
 // Run starts the standing duties.
 func (n *Node) Run(ctx context.Context) {
 	n.Go(ctx, n.Lic.Run)
+	n.Go(ctx, func(ctx context.Context) { loop.Every(ctx, n.P.Lic.Renew, nil, n.look) })
 	n.Go(ctx, n.Board.Run)
 }
+
+// look asks for a newer realm when the cores known here have not granted for a
+// while: they may all have been replaced.
+func (n *Node) look(ctx context.Context) {
+	if n.Lic.Since() > 2*n.P.Lic.Renew {
+		n.ask(ctx)
+	}
+}
--- a/coord/peer/peer.go
+++ b/coord/peer/peer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -22,7 +23,7 @@
 
 // Peer calls and is called.
 type Peer struct {
-	Self wire.Member // fixed at start
+	Self wire.Member // as it was at start
 	Cuts *xport.Cuts
 	Log  hclog.Logger
 
@@ -31,21 +32,31 @@
 	p   xport.Params
 	on  map[reflect.Type]Handler
 	srv *xport.Server
+
+	ident atomic.Pointer[string]
 }
 
+// Ident is the identity that this process has now. It changes only where a machine
+// that was let go comes back as a stranger.
+func (p *Peer) Ident() string { return *p.ident.Load() }
+
+// SetIdent gives the process another identity; with none it answers to no name.
+func (p *Peer) SetIdent(s string) { p.ident.Store(&s) }
+
 // New makes a peer with a fresh incarnation. Handlers are set before Serve.
 func New(self *wire.Member, n xport.Net, p xport.Params, log hclog.Logger) *Peer {
 	c := &xport.Cuts{}
 	pr := &Peer{Cuts: c, Log: log, hub: xport.NewHub(n, p, c), net: n, p: p, on: map[reflect.Type]Handler{}}
 	pr.Self = wire.Member{Id: self.Id, Role: self.Role, Addr: self.Addr, Http: self.Http, Zone: self.Zone, Ident: self.Ident,
 		Inc: uint64(time.Now().UnixMilli())<<16 | uint64(rand.Uint32()&0xffff)}
+	pr.SetIdent(self.Ident)
 	return pr
 }
 
 // Member is a copy of the peer's own entry with the spec version it confirms.
 func (p *Peer) Member(specVer uint64) *wire.Member {
 	s := &p.Self
-	return &wire.Member{Id: s.Id, Role: s.Role, Addr: s.Addr, Http: s.Http, Zone: s.Zone, Ident: s.Ident, Inc: s.Inc, SpecVer: specVer}
+	return &wire.Member{Id: s.Id, Role: s.Role, Addr: s.Addr, Http: s.Http, Zone: s.Zone, Ident: p.Ident(), Inc: s.Inc, SpecVer: specVer}
 }
 
 // On sets the handler for requests whose op has the type of op.
@@ -99,8 +110,8 @@
 	if q.Ver < wire.Oldest {
 		return nil, code.New(code.WireVersion, "message version %d, oldest understood %d", q.Ver, wire.Oldest)
 	}
-	if q.Ident != "" && q.Ident != p.Self.Ident {
-		return nil, code.New(code.WrongIdentity, "%s has identity %s", p.Self.Id, p.Self.Ident)
+	if id := p.Ident(); q.Ident != "" && q.Ident != id {
+		return nil, code.New(code.WrongIdentity, "%s has identity %s", p.Self.Id, id)
 	}
 	h := p.on[reflect.TypeOf(q.Op)]
 	if h == nil {
--- a/coord/realm/realm.go
+++ b/coord/realm/realm.go
@@ -3,12 +3,10 @@
 package realm
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"fmt"
-	"hash/fnv"
 	"slices"
-	"sort"
 	"sync"
 	"sync/atomic"
 
@@ -21,8 +19,8 @@
 // Key is the spec's register.
 const Key = "spec"
 
-// Copies is how many stores hold each key.
-const Copies = 3
+// copies is how many stores hold each key where the realm does not say.
+const copies = 3
 
 // View is one version of the realm. It is never changed once made.
 type View struct {
@@ -30,10 +28,23 @@
 	// SetVer is the version since which the sets of stores are these, as far
 	// as this process knows.
 	SetVer uint64
+	// CoreVer is the same for the sets of cores.
+	CoreVer uint64
 	spec.Realm
 	raw []byte
 }
 
+// Copies is how many stores hold each key.
+func (v *View) Copies() int { return Copies(&v.Realm) }
+
+// Copies is how many stores hold each key under r.
+func Copies(r *spec.Realm) int {
+	if r.Copies > 0 {
+		return r.Copies
+	}
+	return copies
+}
+
 // Raw is the register's value.
 func (v *View) Raw() []byte { return v.raw }
 
@@ -45,6 +56,9 @@
 	keep func(raw []byte, ver uint64) error
 	on   []loop.Kick
 	turn chan struct{} // one change at a time from this process
+	// Ask looks elsewhere for a newer version, where the voters known here refuse
+	// to deal with one so old. It is set before use.
+	Ask func(ctx context.Context) bool
 }
 
 // New makes an empty realm; keep, if set, puts each version on disk before it
@@ -60,7 +74,11 @@
 
 // Boot sets the voters of a realm that has no version yet.
 func (r *Realm) Boot(cores []spec.Machine) {
-	r.cur.Store(&View{Realm: spec.Realm{Cores: cores}})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Now().Ver == 0 {
+		r.cur.Store(&View{Realm: spec.Realm{Cores: cores}})
+	}
 }
 
 // Watch gives a kick that fires at every new version.
@@ -88,10 +106,14 @@
 			return err
 		}
 	}
-	if old := r.Now(); old.Ver > 0 && slices.Equal(old.Realm.Stores, v.Realm.Stores) && slices.Equal(old.NextStores, v.NextStores) {
-		v.SetVer = old.SetVer
-	} else {
-		v.SetVer = ver
+	v.SetVer, v.CoreVer = ver, ver
+	if old := r.Now(); old.Ver > 0 {
+		if slices.Equal(old.Realm.Stores, v.Realm.Stores) && slices.Equal(old.NextStores, v.NextStores) {
+			v.SetVer = old.SetVer
+		}
+		if slices.Equal(old.Realm.Cores, v.Realm.Cores) && slices.Equal(old.NextCores, v.NextCores) {
+			v.CoreVer = old.CoreVer
+		}
 	}
 	r.cur.Store(v)
 	for _, k := range r.on {
@@ -119,51 +141,106 @@
 
 // Stores is the voters of one key: two groups while the set changes.
 func (v *View) Stores(key string) reg.Set {
-	g := holders(v.Realm.Stores, key)
+	g := Holders(v.Realm.Stores, key, v.Copies())
 	if g == nil {
 		return nil
 	}
-	set := reg.Set{g}
+	set := reg.Set{replicas(g)}
 	if len(v.NextStores) > 0 {
-		set = append(set, holders(v.NextStores, key))
+		set = append(set, replicas(Holders(v.NextStores, key, v.Copies())))
 	}
 	return set
 }
 
-// holders are a key's stores: rendezvous order over those whose identity is
-// known, spread over zones first.
-func holders(set []spec.Machine, key string) []reg.Replica {
+// Holders are the stores of a set that hold a key: rendezvous order over those
+// whose identity is known, spread over zones. Each round takes the first that is
+// left of each zone, so that no zone has two more than another that has any left.
+func Holders(set []spec.Machine, key string, copies int) []spec.Machine {
 	type cand struct {
-		m spec.Machine
-		h uint64
+		m    *spec.Machine
+		h    uint64
+		turn int // its place among those of its zone
 	}
-	var all []cand
+	all := make([]cand, 0, len(set))
+	k := hash(fnvStart, key)
+	for i := range set {
+		if m := &set[i]; m.Ident != "" {
+			all = append(all, cand{m: m, h: mix(hash(hash(k, "/"), m.ID))})
+		}
+	}
+	// Fewer than all copies is no set to write to: a lone store would answer
+	// for a majority that does not exist yet.
+	if len(all) < min(copies, len(set)) || len(all) == 0 {
+		return nil
+	}
+	slices.SortFunc(all, func(a, b cand) int { return cmp.Compare(b.h, a.h) })
+	for i := range all {
+		for j := range i {
+			if all[j].m.Zone == all[i].m.Zone {
+				all[i].turn++
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b cand) int { return cmp.Compare(a.turn, b.turn) })
+	got := make([]spec.Machine, 0, copies)
+	for _, c := range all[:min(copies, len(all))] {
+		got = append(got, *c.m)
+	}
+	return got
+}
+
+// Worst is the most of a key's holders that could be among some machines of a set.
+func Worst(set, some []spec.Machine, copies int) int {
+	zones, in := map[string]int{}, map[string]int{}
 	for _, m := range set {
-		if m.Ident != "" {
-			h := fnv.New64a()
-			fmt.Fprintf(h, "%s/%s", key, m.ID)
-			all = append(all, cand{m, mix(h.Sum64())})
+		zones[m.Zone]++
+	}
+	for _, m := range some {
+		in[m.Zone]++
+	}
+	// A zone gives one holder in each round until it has no more.
+	most, left := map[string]int{}, min(copies, len(set))
+	for r := 1; left > 0; r++ {
+		n := 0
+		for z, have := range zones {
+			if have >= r {
+				most[z]++
+				n++
+			}
 		}
+		// The last round may end before it has come to every zone; any may be among
+		// those it takes.
+		left -= n
+	}
+	worst := 0
+	for z, n := range in {
+		worst += min(n, most[z])
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].h > all[j].h })
-	var got []spec.Machine
-	zones := map[string]bool{}
-	take := func(sameZone bool) {
-		for _, c := range all {
-			if len(got) < Copies && zones[c.m.Zone] == sameZone && !slices.Contains(got, c.m) {
-				got = append(got, c.m)
-				zones[c.m.Zone] = true
+	return min(worst, copies, len(set))
+}
+
+// Sets is a digest of the sets of stores.
+func (v *View) Sets() uint64 {
+	h := uint64(fnvStart)
+	for _, set := range [][]spec.Machine{v.Realm.Stores, v.NextStores} {
+		h = hash(h, "|")
+		for _, m := range set {
+			for _, s := range []string{m.ID, m.Addr, m.Zone, m.Ident} {
+				h = hash(hash(h, s), "/")
 			}
 		}
 	}
-	take(false)
-	take(true)
-	// Fewer than all copies is no set to write to: a lone store would answer
-	// for a majority that does not exist yet.
-	if len(got) < min(Copies, len(set)) || len(got) == 0 {
-		return nil
+	return mix(h)
+}
+
+const fnvStart = 14695981039346656037
+
+// hash goes on with an FNV-1a hash.
+func hash(h uint64, s string) uint64 {
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
 	}
-	return replicas(got)
+	return h
 }
 
 // mix spreads a hash whose last letters differ little.
@@ -174,9 +251,29 @@
 	return h
 }
 
+// tries is how often voters may refuse one dealing with them for its old version.
+const tries = 3
+
+// with deals with the voters under the version in force. Voters that belong to
+// newer sets refuse, so that nobody acts on an old one alone; then whoever knows
+// better is asked, and it is done anew.
+func (r *Realm) with(ctx context.Context, do func(context.Context, reg.Set) error) error {
+	for try := 1; ; try++ {
+		v := r.Now()
+		err := do(reg.Stamp(ctx, v.Ver, false), v.Cores())
+		if try == tries || code.Of(err) != code.StaleSpec || errors.Is(err, reg.ErrMaybe) || r.Ask == nil || !r.Ask(ctx) || r.Now().Ver == v.Ver {
+			return err
+		}
+	}
+}
+
 // Read fetches the realm at a majority and puts it in force.
 func (r *Realm) Read(ctx context.Context) error {
-	st, err := r.prop.Read(ctx, r.Now().Cores(), Key)
+	var st reg.State
+	err := r.with(ctx, func(ctx context.Context, set reg.Set) (err error) {
+		st, err = r.prop.Read(ctx, set, Key)
+		return err
+	})
 	if err != nil {
 		return code.New(code.CoreAway, "%w", err)
 	}
@@ -201,7 +298,8 @@
 		return 0, nil, code.New(code.CoreAway, "nothing changed: %w", ctx.Err())
 	}
 	var seen uint64
-	st, err := r.prop.Change(ctx, r.Now().Cores(), Key, func(s reg.State) ([]byte, bool, error) {
+	var st reg.State
+	work := func(s reg.State) ([]byte, bool, error) {
 		seen = s.Ver
 		if expect != 0 && s.Ver != expect {
 			return nil, false, code.New(code.SpecConflict, "expected version %d, version %d is in force", expect, s.Ver)
@@ -215,6 +313,10 @@
 		}
 		b, err := re.MarshalJSON()
 		return b, false, err
+	}
+	err := r.with(ctx, func(ctx context.Context, set reg.Set) (err error) {
+		st, err = r.prop.Change(ctx, set, Key, work)
+		return err
 	})
 	switch {
 	case err == nil:
--- /dev/null
+++ b/kit/backend/backend.go
@@ -0,0 +1,371 @@
+// Package backend is a stand-in for runners of raw jobs: plain HTTP/1.1, whole
+// answers or events, and numbered faults. It keeps a ledger of what came and what
+// ran, for tests to judge by. It knows no platform: the headers that it reads and
+// writes are told.
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is what goes wrong with one job.
+type Fault int
+
+// The faults, by number.
+const (
+	None      Fault = iota
+	Drop            // 1: refuses without running
+	LoseWord        // 2: runs, and its answer is lost
+	Cut             // 3: runs, and its answer is cut midway, of a stream before its first event
+	NoAnswer        // 4: runs, and sends bytes that are no answer
+	Surplus         // 5: a whole answer, and bytes after it
+	LateWord        // 6: a late answer to an earlier job before the due one
+	NoSeal          // 7: a success without its mark
+	Other           // 8: another runner has the address
+	RateLimit       // 9: refuses by a rate limit, and says when to come back
+	CutStream       // 10: a stream is cut midway of an event, after Params.Before of them
+	ShutIdle        // 11: a whole answer; the connection is closed without a word afterwards
+	Slow            // 12: runs, and its first byte is later than anybody waits
+	Own500          // 13: runs, and answers 500
+	Bare503         // 14: runs, and answers 503 without the word that it did not
+	NoDial          // 15: refuses the connection
+	Faults    = int(NoDial)
+)
+
+// Names are the headers that a stand-in speaks.
+type Names struct{ Try, Seal, NotRun, Target string }
+
+// Plan is the faults of the next jobs, in order. Stand-ins that share one meet
+// them in whichever of them a job arrives.
+type Plan struct {
+	mu   sync.Mutex
+	next []Fault
+}
+
+// Set replaces what is planned.
+func (p *Plan) Set(fs ...Fault) {
+	p.mu.Lock()
+	p.next = append([]Fault(nil), fs...)
+	p.mu.Unlock()
+}
+
+// take gives the next fault of a dial, or of a job: on a connection that stands
+// nobody dials.
+func (p *Plan) take(dial bool) Fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.next) == 0 || (p.next[0] == NoDial) != dial {
+		return None
+	}
+	f := p.next[0]
+	p.next = p.next[1:]
+	return f
+}
+
+// Params shape a stand-in.
+type Params struct {
+	Names
+	Plan   *Plan // nil: one of its own
+	ID     string
+	Addr   string
+	Bytes  int           // of a whole answer
+	Events int           // of a stream
+	Before int           // events before fault 10
+	Pace   time.Duration // between events
+	Chunks bool          // whole answers come in chunks
+	// Streams tells whether a request is answered by events.
+	Streams func(*http.Request) bool
+	// Word is the data of one event of a stream.
+	Word func(try string, event int) string
+	// Passed is called before each event goes out.
+	Passed func(try string, event int)
+}
+
+// Run is one job that was run.
+type Run struct {
+	At     time.Time
+	Runner string
+	Try    string
+	Method string
+	URI    string
+	Host   string
+	Head   http.Header
+	Body   string
+	Seal   string
+}
+
+// Backend is one stand-in.
+type Backend struct {
+	P  Params
+	ln *Listener
+
+	mu    sync.Mutex
+	came  map[string]int // jobs that arrived, by try
+	runs  []Run
+	conns map[net.Conn]bool
+	made  int
+	wg    sync.WaitGroup
+}
+
+// New makes a stand-in and lets it listen.
+func New(p Params) *Backend {
+	if p.Word == nil {
+		p.Word = func(_ string, n int) string { return fmt.Sprintf("word %d", n) }
+	}
+	if p.Streams == nil {
+		p.Streams = func(*http.Request) bool { return false }
+	}
+	if p.Plan == nil {
+		p.Plan = &Plan{}
+	}
+	b := &Backend{P: p, ln: NewListener(p.Addr), came: map[string]int{}, conns: map[net.Conn]bool{}}
+	b.wg.Go(func() {
+		for {
+			c, err := b.ln.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.conns[c] = true
+			b.made++
+			b.mu.Unlock()
+			b.wg.Go(func() {
+				b.serve(c)
+				c.Close()
+				b.mu.Lock()
+				delete(b.conns, c)
+				b.mu.Unlock()
+			})
+		}
+	})
+	return b
+}
+
+// Dial connects to it, or is refused where that is the next fault.
+func (b *Backend) Dial(ctx context.Context) (net.Conn, error) {
+	if b.P.Plan.take(true) == NoDial {
+		return nil, refused(b.P.Addr)
+	}
+	return b.ln.Dial(ctx)
+}
+
+// Next sets the faults of the next jobs, in order.
+func (b *Backend) Next(fs ...Fault) { b.P.Plan.Set(fs...) }
+
+// Runs lists what ran.
+func (b *Backend) Runs() []Run {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Run(nil), b.runs...)
+}
+
+// Came counts how often a try arrived, run or not.
+func (b *Backend) Came(try string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.came[try]
+}
+
+// Made counts the connections taken.
+func (b *Backend) Made() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.made
+}
+
+// Stop ends it as a crash would.
+func (b *Backend) Stop() {
+	b.ln.Close()
+	b.mu.Lock()
+	for c := range b.conns {
+		c.Close()
+	}
+	b.mu.Unlock()
+	b.wg.Wait()
+}
+
+func (b *Backend) serve(c net.Conn) {
+	br := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
+			return
+		}
+		if !b.job(c, br, q, body) {
+			return
+		}
+	}
+}
+
+type answer struct {
+	status int
+	head   http.Header
+}
+
+func (a answer) begin(w io.Writer, more string) {
+	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
+	_ = a.head.Write(w)
+	io.WriteString(w, more+"\r\n")
+}
+
+func (a answer) whole(w io.Writer, body string) {
+	var x bytes.Buffer
+	a.begin(&x, "Content-Length: "+strconv.Itoa(len(body))+"\r\n")
+	x.WriteString(body)
+	_, _ = w.Write(x.Bytes())
+}
+
+// Seal is the mark of one run at one runner.
+func Seal(runner, try string) string { return runner + "." + try }
+
+// Whole is the body of a whole answer.
+func Whole(runner, try string, n int) string {
+	s := runner + "/" + try + "/"
+	return (s + strings.Repeat("0123456789", n/10+1))[:max(n, len(s))]
+}
+
+// Events is the body of a stream, or the part of it after an event.
+func (p *Params) Text(try string, after int) string {
+	var s strings.Builder
+	for i := after + 1; i <= p.Events; i++ {
+		s.WriteString(p.event(try, i))
+	}
+	return s.String()
+}
+
+func (p *Params) event(try string, i int) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", i, p.Word(try, i))
+}
+
+// job answers one job; it tells whether the connection goes on.
+func (b *Backend) job(c net.Conn, br *bufio.Reader, q *http.Request, body []byte) bool {
+	p := &b.P
+	try := q.Header.Get(p.Try)
+	f := p.Plan.take(false)
+	b.mu.Lock()
+	b.came[try]++
+	b.mu.Unlock()
+	a := answer{http.StatusOK, http.Header{}}
+	a.head.Set(p.Try, try)
+	no := func(status int) bool {
+		a.status = status
+		a.head.Set(p.NotRun, "1")
+		a.whole(c, "not run")
+		return true
+	}
+	if to := q.Header.Get(p.Target); f == Other || to != "" && to != p.ID {
+		return no(http.StatusMisdirectedRequest)
+	}
+	switch f {
+	case Drop:
+		return no(http.StatusServiceUnavailable)
+	case RateLimit:
+		a.head.Set("Retry-After", "2")
+		return no(http.StatusTooManyRequests)
+	}
+	seal := Seal(p.ID, try)
+	b.mu.Lock()
+	b.runs = append(b.runs, Run{time.Now(), p.ID, try, q.Method, q.RequestURI, q.Host, q.Header, string(body), seal})
+	b.mu.Unlock()
+	a.head.Set(p.Seal, seal)
+	switch f {
+	case LoseWord:
+		return false
+	case NoAnswer:
+		io.WriteString(c, "\x15\x03 this is no answer\r\n\r\n")
+		return true
+	case Slow:
+		// Nothing more is heard on this connection than its end.
+		_, _ = io.Copy(io.Discard, br)
+		return false
+	case Own500, Bare503:
+		a.status = http.StatusInternalServerError
+		if f == Bare503 {
+			a.status = http.StatusServiceUnavailable
+		}
+		a.whole(c, "its own trouble")
+		return true
+	case NoSeal:
+		a.head.Del(p.Seal)
+	case LateWord:
+		o := answer{http.StatusOK, http.Header{}}
+		o.head.Set(p.Try, "earlier")
+		o.head.Set(p.Seal, Seal(p.ID, "earlier"))
+		o.whole(c, "an answer to an earlier job")
+	}
+	on := false
+	if p.Streams(q) {
+		on = b.stream(c, q, a, try, f)
+	} else {
+		on = b.whole(c, a, Whole(p.ID, try, p.Bytes), f)
+	}
+	if f == Surplus {
+		io.WriteString(c, "bytes of nobody")
+	}
+	return on && f != ShutIdle
+}
+
+func (b *Backend) whole(c net.Conn, a answer, body string, f Fault) bool {
+	var x bytes.Buffer
+	if b.P.Chunks {
+		a.begin(&x, "Transfer-Encoding: chunked\r\n")
+		for n := 0; n < len(body); n += 1000 {
+			s := body[n:min(n+1000, len(body))]
+			fmt.Fprintf(&x, "%x\r\n%s\r\n", len(s), s)
+		}
+		x.WriteString("0\r\n\r\n")
+	} else {
+		a.whole(&x, body)
+	}
+	if f == Cut || f == CutStream {
+		_, _ = c.Write(x.Bytes()[:x.Len()-7])
+		return false
+	}
+	_, err := c.Write(x.Bytes())
+	return err == nil
+}
+
+func (b *Backend) stream(c net.Conn, q *http.Request, a answer, try string, f Fault) bool {
+	p := &b.P
+	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	a.head.Set("Content-Type", "text/event-stream")
+	var x bytes.Buffer
+	a.begin(&x, "Transfer-Encoding: chunked\r\n")
+	if _, err := c.Write(x.Bytes()); err != nil {
+		return false
+	}
+	sent := 0
+	for i := after + 1; i <= p.Events; i++ {
+		ev := p.event(try, i)
+		if f == Cut || f == CutStream && sent == p.Before {
+			fmt.Fprintf(c, "%x\r\n%s", len(ev), ev[:len(ev)/2])
+			return false
+		}
+		if p.Pace > 0 {
+			time.Sleep(p.Pace)
+		}
+		if p.Passed != nil {
+			p.Passed(try, i)
+		}
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev); err != nil {
+			return false
+		}
+		sent++
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
--- /dev/null
+++ b/kit/backend/fleet_test.go
@@ -0,0 +1,399 @@
+package backend_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damsontiller/coord/tier"
+	"damsontiller/kit/backend"
+	"damsontiller/kit/sim"
+	"damsontiller/pass/job"
+	"damsontiller/pass/raw"
+	"damsontiller/xport/loop"
+)
+
+// fleet is three stores, three cores and edges on simulated time, each edge with a
+// door before the same stand-ins.
+type fleet struct {
+	t    *testing.T
+	ctx  context.Context
+	s    *sim.Sim
+	bs   []*backend.Backend
+	rigs map[string]*rig
+	bgs  []job.Bg
+	turn raw.TurnParams
+}
+
+func newFleet(t *testing.T, shape func(*backend.Params)) *fleet {
+	ctx, stop := context.WithCancel(t.Context())
+	s, err := sim.New(sim.Params{Deploy: "../../deploy/andina", Seed: 1, Edges: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, ctx: ctx, s: s, rigs: map[string]*rig{}, turn: raw.DefaultTurns}
+	f.bs = farm(4, func(p *backend.Params) {
+		p.Word = func(try string, n int) string { return fmt.Sprintf("%s says %d", try, n) }
+		if shape != nil {
+			shape(p)
+		}
+	})
+	if err := s.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, r := range f.rigs {
+			r.backends = nil
+			r.stop()
+		}
+		for _, b := range f.bs {
+			b.Stop()
+		}
+		stop()
+		for _, b := range f.bgs {
+			b.WG.Wait()
+		}
+		s.Stop()
+	})
+	return f
+}
+
+// at is an edge's door; an edge that was started anew has a new one.
+func (f *fleet) at(id string) *rig {
+	if r := f.rigs[id]; r != nil {
+		return r
+	}
+	e := f.s.Edge(id)
+	t := &tier.Tier{Peer: e.Peer, Realm: e.Realm, Prop: e.Prop}
+	bg := job.NewBg(f.ctx)
+	f.bgs = append(f.bgs, bg)
+	r := newRig(f.t, f.bs, raw.NewTurns(f.turn, t), raw.NewPurses(raw.DefaultPurses, t, bg))
+	f.rigs[id] = r
+	return r
+}
+
+// restart ends an edge's process and starts it again, with an empty memory.
+func (f *fleet) restart(id string) {
+	if r := f.rigs[id]; r != nil {
+		r.backends = nil
+		r.stop()
+		delete(f.rigs, id)
+	}
+	f.s.Kill(id)
+	f.up(id)
+}
+
+// up starts a machine and waits until it is back.
+func (f *fleet) up(id string) {
+	f.t.Helper()
+	if err := f.s.Up(f.ctx, id, false); err != nil {
+		f.t.Fatal(err)
+	}
+	time.Sleep(5 * time.Second)
+}
+
+// inBubble runs a test on a fleet of its own. Cleanups run inside the bubble.
+func inBubble(t *testing.T, shape func(*backend.Params), do func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { do(t, newFleet(t, shape)) })
+}
+
+func out(p *backend.Params, try string) string {
+	var s strings.Builder
+	for i := 1; i <= p.Events; i++ {
+		s.WriteString(p.Word(try, i) + "\n")
+	}
+	return s.String()
+}
+
+func try(name string, more ...option) option {
+	return func(h http.Header) {
+		h.Set(names.Try, name)
+		for _, o := range more {
+			o(h)
+		}
+	}
+}
+
+// TestKeptFaults: each fault at a kept turn: it runs once at most, what is promised
+// is true, and only a whole answer can be followed.
+func TestKeptFaults(t *testing.T) {
+	plan := &backend.Plan{}
+	inBubble(t, func(p *backend.Params) { p.Plan = plan }, func(t *testing.T, f *fleet) {
+		r := f.at("e1")
+		for _, w := range want {
+			plan.Set(w.f)
+			x := r.ask(kept+"x", "input", try(fmt.Sprintf("k%d", w.f)))
+			if err := r.judge(kept, x); err != nil {
+				t.Errorf("fault %d: %v", w.f, err)
+			}
+			switch {
+			case w.stream == 0 && (x.status != 200 || !x.cut), w.stream != 0 && (x.status != w.stream || x.cut):
+				t.Errorf("fault %d: status %d cut %v, want %d: %s", w.f, x.status, x.cut, w.stream, x.body)
+			}
+			plan.Set()
+			time.Sleep(15 * time.Second)
+			y := f.at("e2").ask(kept+"x", "more", try(fmt.Sprintf("after%d", w.f), head("X-Test-Follows", x.try)))
+			if whole := x.status == 200 && !x.cut; whole != (y.status == 200) || !whole && y.status != 404 {
+				t.Errorf("fault %d: answered %d cut %v, the turn after it %d", w.f, x.status, x.cut, y.status)
+			}
+		}
+	})
+}
+
+// TestChain: thirty turns at three edges in turn, one of which starts anew on the
+// way: each runner gets all inputs and outputs before, in order, and nothing else.
+func TestChain(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, f *fleet) {
+		body, last := "", ""
+		for i := range 30 {
+			id := fmt.Sprintf("turn-%d", i)
+			in := fmt.Sprintf("{\"in\":%d}\n\x00", i)
+			r := f.at(fmt.Sprintf("e%d", i%3+1))
+			x := r.ask(kept+"c", in, try(id, head("X-Test-Follows", last)))
+			if x.status != 200 || x.cut {
+				t.Fatalf("turn %d: status %d cut %v %s", i, x.status, x.cut, x.body)
+			}
+			if runs := r.runs(id); len(runs) != 1 || runs[0].Body != body+in {
+				t.Fatalf("turn %d: %d runs, got\n%q\nwant\n%q", i, len(runs), runs[0].Body, body+in)
+			}
+			body, last = body+in+out(&f.bs[0].P, id), id
+			switch i {
+			case 11:
+				f.restart("e2")
+			case 17:
+				f.s.Kill("s1")
+				f.s.Wipe("s1")
+			case 23:
+				f.up("s1")
+			}
+		}
+		// Two go on from one in the middle.
+		for _, id := range []string{"branch-a", "branch-b"} {
+			if x := f.at("e3").ask(kept+"c", "b", try(id, head("X-Test-Follows", "turn-2"))); x.status != 200 {
+				t.Errorf("%s: status %d", id, x.status)
+			}
+			if got := f.at("e3").runs(id); len(got) != 1 || !strings.HasSuffix(got[0].Body, out(&f.bs[0].P, "turn-2")+"b") {
+				t.Errorf("%s: %v", id, got)
+			}
+		}
+	})
+}
+
+// TestNoSuchTurn: 404 only where a majority says so, and a turn that is there is
+// found whichever store is away.
+func TestNoSuchTurn(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, f *fleet) {
+		if x := f.at("e1").ask(kept+"x", "a", try("first")); x.status != 200 {
+			t.Fatal(x.status, x.body)
+		}
+		ask := func(what string, want int, follows string) {
+			t.Helper()
+			for _, e := range []string{"e1", "e2"} {
+				r := f.at(e)
+				x := r.ask(kept+"x", "b", try(fmt.Sprintf("%s %s %d", what, e, r.n.Add(1)), head("X-Test-Follows", follows)))
+				if x.status != want || x.status != 200 && len(r.runs(x.try)) > 0 {
+					t.Errorf("%s at %s: status %d, want %d: %s", what, e, x.status, want, x.body)
+				}
+			}
+		}
+		ask("never kept", 404, "nobody")
+		for _, s := range []string{"s1", "s2", "s3"} {
+			f.s.Kill(s)
+			ask("one away", 404, "nobody")
+			ask("one away", 200, "first")
+			f.up(s)
+		}
+		f.s.Kill("s1")
+		f.s.Kill("s3")
+		ask("two away", 503, "nobody")
+		f.up("s1")
+		f.up("s3")
+		ask("back", 404, "nobody")
+		ask("back", 200, "first")
+	})
+}
+
+// TestNotKept: a turn that could not be kept does not end whole, though all of its
+// events have gone out.
+func TestNotKept(t *testing.T) {
+	var f *fleet
+	cut := func(string, int) {}
+	inBubble(t, func(p *backend.Params) {
+		p.Passed = func(try string, n int) { cut(try, n) }
+	}, func(t *testing.T, fl *fleet) {
+		f = fl
+		r := f.at("e1")
+		cut = func(_ string, n int) {
+			if n == f.bs[0].P.Events {
+				f.s.Cut([]string{"e1"}, f.s.Rest("e1"), true)
+			}
+		}
+		x := r.ask(kept+"x", "a", try("lost"))
+		if x.status != 200 || !x.cut {
+			t.Errorf("status %d, cut %v", x.status, x.cut)
+		}
+		cut = func(string, int) {}
+		f.s.Cut([]string{"e1"}, f.s.Rest("e1"), false)
+		time.Sleep(10 * time.Second)
+		if x := r.ask(kept+"x", "a", try("found")); x.status != 200 || x.cut {
+			t.Errorf("later: status %d, cut %v", x.status, x.cut)
+		}
+	})
+}
+
+// TestRenewed: a chain whose turns come slower than one is kept stays whole: those
+// before are renewed, also by an edge that could not renew them at its first try.
+func TestRenewed(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, f *fleet) {
+		f.turn.Slack = 10 * time.Second
+		body, last := "", ""
+		for i := range 12 {
+			id := fmt.Sprintf("slow-%d", i)
+			r := f.at(fmt.Sprintf("e%d", i%2+1))
+			if i%4 == 3 {
+				// The turn runs, but neither it nor those before can be written.
+				pace := make(chan struct{})
+				f.bs[0].P.Plan.Set()
+				go func() {
+					defer close(pace)
+					f.s.Cut([]string{"s1", "s2"}, f.s.Rest("s1", "s2"), true)
+				}()
+				<-pace
+				if x := r.ask(kept+"c", "i", try(id+"-fails", head("X-Test-Follows", last))); x.status == 200 && !x.cut {
+					t.Errorf("%d: kept without a majority", i)
+				}
+				f.s.Cut([]string{"s1", "s2"}, f.s.Rest("s1", "s2"), false)
+				time.Sleep(3 * time.Second)
+			}
+			x := r.ask(kept+"c", "i", try(id, head("X-Test-Follows", last)))
+			if x.status != 200 || x.cut {
+				t.Fatalf("turn %d: status %d cut %v %s", i, x.status, x.cut, x.body)
+			}
+			if got := r.runs(id)[0].Body; got != body+"i" {
+				t.Fatalf("turn %d: got\n%q\nwant\n%q", i, got, body+"i")
+			}
+			body, last = body+"i"+out(&f.bs[0].P, id), id
+			time.Sleep(50 * time.Second)
+		}
+		// At the end of what is promised, an edge that remembers nothing finds all.
+		time.Sleep(9 * time.Second)
+		f.restart("e3")
+		if x := f.at("e3").ask(kept+"c", "i", try("end", head("X-Test-Follows", last))); x.status != 200 {
+			t.Errorf("at the end: status %d %s", x.status, x.body)
+		}
+	})
+}
+
+// spent is what callers were handed, counted as the engine counts.
+func handed(x heard) int64 { return 4 * int64(strings.Count(x.body, "\ndata: ")) }
+
+// TestBudget: turns of one program at all edges at once, with stores and an edge
+// lost on the way: callers are never handed more than the budget and the most of
+// one turn, a 402 has not run, and the budget can be used up.
+func TestBudget(t *testing.T) {
+	for seed := range 3 {
+		inBubble(t, func(p *backend.Params) { p.Pace = 20 * time.Millisecond }, func(t *testing.T, f *fleet) {
+			const budget, most = 800, 32
+			var mu sync.Mutex
+			sum, over, good := int64(0), 0, 0
+			var wg sync.WaitGroup
+			turn := func(e string, n int, fault backend.Fault) {
+				defer wg.Done()
+				r := f.at(e)
+				if fault != 0 {
+					f.bs[n%len(f.bs)].Next(fault)
+				}
+				x := r.ask(stream+"x", "a", try(fmt.Sprintf("b%d", n), head("X-Test-Program", "prog"), head("X-Test-Budget", strconv.Itoa(budget)), head("X-Test-Most", strconv.Itoa(most))))
+				mu.Lock()
+				defer mu.Unlock()
+				sum += handed(x)
+				switch {
+				case x.status == 402:
+					over++
+					if len(r.runs(x.try)) > 0 {
+						t.Errorf("402, and it ran")
+					}
+				case x.status == 200 && !x.cut:
+					good++
+				}
+			}
+			n := 0
+			wave := func(faults ...backend.Fault) {
+				for i, e := range []string{"e1", "e2", "e3", "e1", "e2", "e3"} {
+					n++
+					wg.Add(1)
+					f.at(e)
+					go turn(e, n, append(faults, 0, 0, 0, 0, 0, 0)[i])
+				}
+				wg.Wait()
+			}
+			wave(backend.CutStream, backend.LoseWord)
+			f.s.Kill(fmt.Sprintf("s%d", seed+1))
+			wave()
+			f.up(fmt.Sprintf("s%d", seed+1))
+			// An edge ends before it has written its settlements.
+			wave(backend.Drop)
+			f.restart(fmt.Sprintf("e%d", seed+1))
+			for range 8 {
+				wave()
+				loop.Wait(f.ctx, 300*time.Millisecond)
+			}
+			if sum > budget+most {
+				t.Errorf("handed %d of %d", sum, budget)
+			}
+			if over == 0 {
+				t.Errorf("never refused: %d handed", sum)
+			}
+			// Two waves of settlements may be lost at most: what an edge had not written.
+			if sum < budget-4*6*most/2 {
+				t.Errorf("only %d of %d could be used, %d good, %d refused", sum, budget, good, over)
+			}
+		})
+	}
+}
+
+// TestBudgetStoresAway: without the stores a turn that states a budget is refused as
+// not run, within its time, however many wait at once; and nothing of it is lost.
+func TestBudgetStoresAway(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, f *fleet) {
+		r := f.at("e1")
+		f.s.Cut([]string{"e1"}, f.s.Rest("e1"), true)
+		var wg sync.WaitGroup
+		ask := func(name string) heard {
+			return r.ask(stream+"x", "a", try(name, head("X-Test-Program", "prog"), head("X-Test-Budget", "64"), head("X-Test-Most", "32")))
+		}
+		var mu sync.Mutex
+		for i := range 8 {
+			wg.Go(func() {
+				x := ask(fmt.Sprintf("w%d", i))
+				mu.Lock()
+				defer mu.Unlock()
+				if x.status != 503 || len(r.runs(x.try)) > 0 {
+					t.Errorf("status %d, %d runs", x.status, len(r.runs(x.try)))
+				}
+				if x.took > time.Second {
+					t.Errorf("held for %s", x.took)
+				}
+			})
+		}
+		wg.Wait()
+		f.s.Cut([]string{"e1"}, f.s.Rest("e1"), false)
+		time.Sleep(20 * time.Second)
+		for i := range 2 {
+			if x := ask(fmt.Sprintf("x%d", i)); x.status != 200 {
+				t.Errorf("later: status %d %s", x.status, x.body)
+			}
+			time.Sleep(time.Second)
+		}
+		if x := ask("spent"); x.status != 402 {
+			t.Errorf("spent: status %d", x.status)
+		}
+	})
+}
--- /dev/null
+++ b/kit/backend/rig_test.go
@@ -0,0 +1,307 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"damsontiller/coord/licence"
+	"damsontiller/coord/news"
+	"damsontiller/coord/node"
+	"damsontiller/coord/realm"
+	"damsontiller/kit/backend"
+	"damsontiller/pass/cool"
+	"damsontiller/pass/raw"
+	"damsontiller/pass/roll"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/xport"
+	"damsontiller/xport/code"
+	"damsontiller/xport/fixed"
+	"damsontiller/xport/memnet"
+)
+
+func TestMain(m *testing.M) { fixed.Main(m, 300) }
+
+var names = backend.Names{Try: "X-Test-Try", Seal: "X-Test-Seal", NotRun: "X-Test-Not-Run", Target: "X-Test-Target"}
+
+// dialect is the tests' own.
+type dialect struct{}
+
+func (dialect) Read(r *http.Request, j *raw.Job) error {
+	h := r.Header
+	if j.Try = h.Get(names.Try); j.Try == "" {
+		return code.New(code.NoHeader, "no try")
+	}
+	j.Program, j.Follows, j.After, j.Subject = h.Get("X-Test-Program"), h.Get("X-Test-Follows"), h.Get("Last-Event-Id"), h.Get("X-Test-Subject")
+	ms, _ := strconv.Atoi(h.Get("X-Test-Wait"))
+	j.Wait = time.Duration(ms) * time.Millisecond
+	j.Budget, _ = strconv.ParseInt(h.Get("X-Test-Budget"), 10, 64)
+	j.Most, _ = strconv.ParseInt(h.Get("X-Test-Most"), 10, 64)
+	return nil
+}
+
+func (dialect) Send(h http.Header, j *raw.Job, to *roll.Runner, left time.Duration, _ int) {
+	h.Set(names.Try, j.Try)
+	h.Set(names.Target, to.ID)
+	h.Set("X-Test-Wait", strconv.FormatInt(left.Milliseconds(), 10))
+}
+
+func (dialect) Resume(h http.Header, after string) { h.Set("Last-Event-Id", after) }
+
+func (dialect) Heard(r *http.Response) raw.Word {
+	return raw.Word{Try: r.Header.Get(names.Try), Sealed: r.Header.Get(names.Seal) != "", Other: r.StatusCode == http.StatusMisdirectedRequest,
+		NotRun: r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get(names.NotRun) != ""}
+}
+
+// kinds of jobs, by the path that leads to them.
+const (
+	repeatable = "/r/"
+	once       = "/o/"
+	stream     = "/s/"
+	resumable  = "/t/"
+	kept       = "/k/"
+)
+
+func streams(uri string) bool {
+	return len(uri) > 1 && uri[0] == '/' && strings.IndexByte("stk", uri[1]) >= 0
+}
+
+func mayRepeat(kind string) bool { return kind == repeatable || kind == resumable }
+
+// tries is the most runners that the table lets a job be sent to.
+const tries = 3
+
+func table() spec.Table {
+	t := spec.Table{Revision: 1, Services: []spec.Service{{Name: "svc", Engine: &spec.Engine{Batch: 8, CacheTokens: 1 << 20, TokensPerEvent: 4}}},
+		Limits: spec.Limits{BodyBytes: 100 << 10}}
+	for _, k := range []string{repeatable, once, stream, resumable, kept} {
+		p := spec.Path{Name: k, Authority: "host.test", Prefix: k, Kind: spec.Stream, To: []spec.Share{{Service: "svc", Weight: 1}}, GuardMs: 4000, AimMs: 200, Tries: tries}
+		switch k {
+		case repeatable:
+			p.Kind = spec.Repeatable
+		case once:
+			p.Kind = spec.Once
+		case resumable:
+			p.Resumable = true
+		case kept:
+			p.Kept, p.KeepMs = true, 60_000
+		}
+		t.Paths = append(t.Paths, p)
+	}
+	return t
+}
+
+// rig is one door before some stand-ins.
+type rig struct {
+	t        testing.TB
+	door     *raw.Door
+	roll     *roll.Roll
+	pool     *raw.Pool
+	load     *raw.Load
+	table    spec.Table
+	view     *realm.View
+	backends []*backend.Backend
+	front    *backend.Listener
+	http     *http.Server
+	n        atomic.Int64
+	dial     func() // called at each dial
+}
+
+// farm makes stand-ins.
+func farm(n int, shape func(*backend.Params)) []*backend.Backend {
+	var out []*backend.Backend
+	for i := range n {
+		p := backend.Params{Names: names, ID: fmt.Sprintf("i-%d", i), Addr: fmt.Sprintf("10.1.0.%d:80", i), Bytes: 800, Events: 8, Before: 3,
+			Streams: func(r *http.Request) bool { return streams(r.RequestURI) }}
+		if shape != nil {
+			shape(&p)
+		}
+		out = append(out, backend.New(p))
+	}
+	return out
+}
+
+// alone is a node that knows nobody.
+func alone(id string) *node.Node {
+	return node.New(node.Params{Self: &wire.Member{Id: id, Role: "edge", Zone: "a", Live: true}, Net: memnet.New(1).Host(id), Xport: xport.DefaultParams,
+		Lic: licence.DefaultParams, News: news.DefaultParams, Log: hclog.NewNullLogger()})
+}
+
+func newRig(t testing.TB, bs []*backend.Backend, way ...raw.Policy) *rig {
+	n := alone("e1")
+	r := &rig{t: t, roll: roll.New(), load: raw.NewLoad(), backends: bs, table: table(), front: backend.NewListener("10.0.0.1:80")}
+	r.view = &realm.View{Ver: 1, Realm: spec.Realm{Table: r.table}}
+	at := map[string]*backend.Backend{}
+	var all []roll.Runner
+	for _, b := range bs {
+		at[b.P.Addr] = b
+		all = append(all, roll.Runner{ID: b.P.ID, Service: "svc", Addr: b.P.Addr, Zone: "a", Room: 8})
+	}
+	r.roll.Take(roll.NewList(time.Now(), all))
+	r.pool = raw.NewPool(raw.DefaultPool, func(ctx context.Context, addr string) (net.Conn, error) {
+		if r.dial != nil {
+			r.dial()
+		}
+		return at[addr].Dial(ctx)
+	})
+	r.door = raw.New(raw.DefaultParams, raw.Parts{Self: n.P.Self, View: func() *realm.View { return r.view }, Members: func() []*wire.Member { return []*wire.Member{n.P.Self} },
+		Ready: func() error { return nil }, Roll: r.roll, Load: r.load, Pool: r.pool, Cool: cool.New(cool.Params{Alone: true}, n, nil), Dialect: dialect{},
+		Log: hclog.NewNullLogger(), Way: way})
+	r.http = &http.Server{Handler: r.door, ErrorLog: log.New(io.Discard, "", 0)}
+	go func() { _ = r.http.Serve(r.front) }()
+	return r
+}
+
+// setRoll puts another list in force.
+func (r *rig) setRoll(all []roll.Runner) { r.roll.Take(roll.NewList(time.Now(), all)) }
+
+// stop ends the door, then its stand-ins if they are its own.
+func (r *rig) stop() {
+	_ = r.http.Close()
+	r.pool.Sweep(func(string) bool { return false })
+	for _, b := range r.backends {
+		b.Stop()
+	}
+	synctest.Wait()
+}
+
+// heard is what a caller got.
+type heard struct {
+	try    string
+	status int
+	head   http.Header
+	body   string
+	cut    bool // no answer, or it ended before its end
+	more   bool // something came after it that nobody asked for
+	took   time.Duration
+}
+
+type option func(h http.Header)
+
+func head(k, v string) option { return func(h http.Header) { h.Set(k, v) } }
+
+// ask sends one job on a connection of its own.
+func (r *rig) ask(uri, body string, os ...option) heard {
+	r.t.Helper()
+	h := http.Header{}
+	h.Set(names.Try, fmt.Sprintf("try-%d", r.n.Add(1)))
+	h.Set("X-Test-Wait", "2000")
+	for _, o := range os {
+		o(h)
+	}
+	var s strings.Builder
+	fmt.Fprintf(&s, "POST %s HTTP/1.1\r\nHost: host.test\r\nContent-Length: %d\r\n", uri, len(body))
+	_ = h.Write(&s)
+	s.WriteString("\r\n" + body)
+	x := r.say(s.String())
+	x.try = h.Get(names.Try)
+	return x
+}
+
+// say sends bytes and reads one answer.
+func (r *rig) say(s string) heard {
+	r.t.Helper()
+	c, err := r.front.Dial(r.t.Context())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer c.Close()
+	at := time.Now()
+	go func() { _, _ = io.WriteString(c, s) }()
+	x := read(bufio.NewReader(c))
+	x.took = time.Since(at)
+	return x
+}
+
+func read(br *bufio.Reader) heard {
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return heard{cut: true}
+	}
+	b, err := io.ReadAll(res.Body)
+	x := heard{status: res.StatusCode, head: res.Header, body: string(b), cut: err != nil}
+	synctest.Wait()
+	x.more = br.Buffered() > 0
+	return x
+}
+
+// runs of a try, at all stand-ins.
+func (r *rig) runs(try string) []backend.Run {
+	var out []backend.Run
+	for _, b := range r.backends {
+		for _, x := range b.Runs() {
+			if x.Try == try {
+				out = append(out, x)
+			}
+		}
+	}
+	return out
+}
+
+func (r *rig) came(try string) int {
+	n := 0
+	for _, b := range r.backends {
+		n += b.Came(try)
+	}
+	return n
+}
+
+func promises(status int) bool {
+	return status == 402 || status == 404 || status == 408 || status == 421 || status == 429 || status == 503
+}
+
+// judge holds an answer against what ran; it gives what is wrong.
+func (r *rig) judge(kind string, x heard) error {
+	runs := r.runs(x.try)
+	if !mayRepeat(kind) && len(runs) > 1 {
+		return fmt.Errorf("ran %d times", len(runs))
+	}
+	if n := r.came(x.try); n > tries {
+		return fmt.Errorf("was sent to %d runners, %d are allowed", n, tries)
+	}
+	if promises(x.status) && len(runs) > 0 {
+		return fmt.Errorf("%d, and it ran %d times", x.status, len(runs))
+	}
+	if x.more {
+		return fmt.Errorf("bytes that nobody asked for after status %d", x.status)
+	}
+	if x.status/100 != 2 {
+		if x.status == 500 && x.body != "its own trouble" {
+			return fmt.Errorf("500 of our own: %s", x.body)
+		}
+		return nil
+	}
+	var by *backend.Run
+	for i := range runs {
+		if runs[i].Seal == x.head.Get(names.Seal) {
+			by = &runs[i]
+		}
+	}
+	if by == nil || x.head.Get(names.Try) != x.try {
+		return fmt.Errorf("a success with the seal %q of %q, runs are %v", x.head.Get(names.Seal), x.head.Get(names.Try), runs)
+	}
+	want := backend.Whole(by.Runner, x.try, 800)
+	if streams(kind) {
+		want = r.backends[0].P.Text(x.try, 0)
+	}
+	if !x.cut && x.body != want {
+		return fmt.Errorf("a success that is not the runner's whole:\n%s\nwant\n%s", x.body, want)
+	}
+	if x.cut && !strings.HasPrefix(want, x.body) {
+		return fmt.Errorf("a cut answer that is not a part of the runner's:\n%s\nof\n%s", x.body, want)
+	}
+	return nil
+}
--- a/kit/dtrig/main.go
+++ b/kit/dtrig/main.go
@@ -20,6 +20,7 @@
 
 	"damsontiller/kit/fleet"
 	"damsontiller/kit/rig"
+	"damsontiller/kit/scale"
 	"damsontiller/pass/day"
 )
 
@@ -27,6 +28,7 @@
 dtrig run [flags]       run one scenario (-scenario) under traffic, and judge it
 dtrig all [flags]       run every scenario, for both deployments or the one named, and print a table
 dtrig ci [flags]        the short run of the test command
+dtrig scale [flags]     measure what each role costs, with real and hollow nodes
 dtrig list              list the scenarios
 
 Each takes -h.`
@@ -42,6 +44,12 @@
 	if len(args) == 0 {
 		return fmt.Errorf("a subcommand is missing\n%s", usage)
 	}
+	switch args[0] {
+	case "scale":
+		return measure(args[1:])
+	case hollow:
+		return scale.Hollow(os.Stdin, os.Stdout)
+	}
 	fs := flag.NewFlagSet("dtrig "+args[0], flag.ExitOnError)
 	deploy := fs.String("deploy", "andina", "deployment: andina or tsehay")
 	deploys := fs.String("deploys", "deploy", "folder of the deployments")
--- a/kit/fleet/fleet.go
+++ b/kit/fleet/fleet.go
@@ -52,6 +52,7 @@
 	Net    int    // second octet; 0 looks for a free one
 	Seed   uint64
 	Bears  int
+	Edges  int  // 0 means six
 	Up     bool // runners come up slowly
 	Log    string
 	// Extra flags for every process, after its own.
@@ -151,7 +152,11 @@
 		m := f.add(fmt.Sprintf("s%d", z+1), "store", z, 21)
 		stores = append(stores, fmt.Sprintf("%s=%s/%s", m.ID, m.Addr(), m.Zone))
 	}
-	for i := range 6 {
+	edges := f.P.Edges
+	if edges == 0 {
+		edges = 6
+	}
+	for i := range edges {
 		f.add(fmt.Sprintf("e%d", i+1), "edge", i%3, 11+i/3)
 	}
 	for _, m := range f.Machines {
@@ -439,6 +444,16 @@
 	return m.cmd != nil
 }
 
+// Pid is the process's id, 0 while none runs.
+func (m *Machine) Pid() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd == nil {
+		return 0
+	}
+	return m.cmd.Process.Pid
+}
+
 // Signal sends a signal to the process, if it runs.
 func (m *Machine) Signal(s syscall.Signal) bool {
 	m.mu.Lock()
--- a/kit/sim/sim.go
+++ b/kit/sim/sim.go
@@ -84,7 +84,9 @@
 	stores  []spec.Machine
 	lic     licence.Params
 	alone   bool
+	found   bool
 	point   func(string, job.Point, *job.Ctx)
+	made    func(string, *edge.Edge)
 	// away is when a machine was last out of the others' reach. What it has in
 	// force then can't be acted on, so the spec it would name is no evidence; it
 	// has the usual two seconds from its return.
@@ -104,8 +106,11 @@
 	Log    bool
 	LogTo  io.Writer // everything logged, at the lowest level
 	Alone  bool      // cooldowns are not shared
+	Found  bool      // the sets form by themselves, from the addresses of c1, c2 and c3
 	// Point is called at each numbered point of a job's way at an edge.
 	Point func(edge string, p job.Point, c *job.Ctx)
+	// Edge is called with each edge made, before it starts.
+	Edge func(id string, e *edge.Edge)
 }
 
 // New lays out a fleet of three cores, three stores and some edges.
@@ -114,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Sim{Net: memnet.New(p.Seed), up: map[string]http.Handler{}, away: map[string]time.Time{}, apart: map[string]bool{}, holds: map[string]time.Duration{}, Log: hclog.NewNullLogger(), lic: licence.DefaultParams, alone: p.Alone, point: p.Point}
+	s := &Sim{Net: memnet.New(p.Seed), up: map[string]http.Handler{}, away: map[string]time.Time{}, apart: map[string]bool{}, holds: map[string]time.Duration{}, Log: hclog.NewNullLogger(), lic: licence.DefaultParams, alone: p.Alone, found: p.Found, point: p.Point, made: p.Edge}
 	if p.Log {
 		s.Log = hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: os.Stderr})
 	}
@@ -137,7 +142,7 @@
 		s.add(fmt.Sprintf("e%d", i+1), "edge", i%3, 20+i)
 	}
 	// Machines that a test may start later; the list itself never changes.
-	for _, m := range []*Machine{s.add("c4", "core", 2, 4), s.add("s4", "store", 0, 14), s.add("e7", "edge", 0, 40)} {
+	for _, m := range []*Machine{s.add("c4", "core", 2, 4), s.add("s4", "store", 0, 14), s.add("e7", "edge", 0, 40), s.add("c5", "core", 0, 5), s.add("s5", "store", 1, 15)} {
 		m.Spare = true
 	}
 	for i, r := range s.Spec.Runners {
@@ -275,7 +280,14 @@
 	var n *node.Node
 	switch m.Role {
 	case "core":
-		c, err := core.New(core.Params{Bootstrap: first, Cores: s.cores, Stores: s.stores, Spec: &s.Spec, AckWait: 5 * time.Second, MoveRate: 500}, np, v)
+		cp := core.Params{Bootstrap: first, Cores: s.cores, Stores: s.stores, Spec: &s.Spec, AckWait: 5 * time.Second, MoveRate: 500}
+		if s.found {
+			cp.Bootstrap, cp.Cores, cp.Stores = false, nil, nil
+			if first {
+				cp.Found = np.Seeds
+			}
+		}
+		c, err := core.New(cp, np, v)
 		if err != nil {
 			return err
 		}
@@ -303,6 +315,9 @@
 		e := edge.New(ctx, p, np)
 		l.edge, n, start = e, e.Node, e.Start
 		e.Routes(l.web)
+		if s.made != nil {
+			s.made(m.ID, e)
+		}
 	}
 	started := make(chan struct{})
 	s.wg.Go(func() {
@@ -549,6 +564,26 @@
 	return &realm.View{}
 }
 
+// View is what a running machine has in force.
+func (s *Sim) View(id string) *realm.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.Get(id).live; l != nil {
+		return l.peer().Realm.Now()
+	}
+	return &realm.View{}
+}
+
+// Ident is the identity that a running machine has.
+func (s *Sim) Ident(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.Get(id).live; l != nil {
+		return l.peer().Peer.Ident()
+	}
+	return ""
+}
+
 // Store is a running store.
 func (s *Sim) Store(id string) *store.Store {
 	s.mu.Lock()
@@ -595,6 +630,16 @@
 	s.mu.Unlock()
 }
 
+// Core is a running core.
+func (s *Sim) Core(id string) *core.Core {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.Get(id).live; l != nil {
+		return l.core
+	}
+	return nil
+}
+
 // Edge is a running edge.
 func (s *Sim) Edge(id string) *edge.Edge {
 	s.mu.Lock()
--- a/pass/cool/cool.go
+++ b/pass/cool/cool.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"damsontiller/coord/node"
@@ -28,13 +29,14 @@
 	Read  time.Duration // cutoff of a look at the deadline
 	Write time.Duration // cutoff of installing one
 	Room  time.Duration // what a call itself needs after a wait
+	Word  WordParams
 	// Alone leaves each node to its own refusals. It is here for the measure of
 	// what sharing is worth; no program sets it.
 	Alone bool
 }
 
 // DefaultParams are the design's.
-var DefaultParams = Params{Read: 150 * time.Millisecond, Write: time.Second, Room: 100 * time.Millisecond}
+var DefaultParams = Params{Read: 150 * time.Millisecond, Write: time.Second, Room: 100 * time.Millisecond, Word: DefaultWord}
 
 // Desk reads and installs cooldowns for the workers of this node.
 type Desk struct {
@@ -50,14 +52,24 @@
 	gates map[string]*gate
 	// kept are refusals that could not be written yet.
 	kept map[string]time.Time
-	seq  uint64
+	// word is what the stores said of late; wrote is until when they have what this
+	// node wrote, and writes what it is writing.
+	word   word
+	wrote  map[string]time.Time
+	writes map[string]*write
+	seq    uint64
 	// installs counts cooldowns written.
 	installs uint64
+
+	kick                  loop.Kick   // asks the stores for their word
+	hot                   atomic.Bool // some cooldown or gate is known
+	words, lookups, blind atomic.Uint64
 }
 
 // New makes the desk and listens for what others spread.
 func New(p Params, n *node.Node, t *tier.Tier) *Desk {
-	d := &Desk{p: p, n: n, t: t, until: map[string]time.Time{}, gates: map[string]*gate{}, kept: map[string]time.Time{}}
+	d := &Desk{p: p, n: n, t: t, until: map[string]time.Time{}, gates: map[string]*gate{}, kept: map[string]time.Time{},
+		word: newWord(), wrote: map[string]time.Time{}, writes: map[string]*write{}, kick: loop.NewKick()}
 	n.Board.On("cool", d.hear)
 	return d
 }
@@ -69,7 +81,27 @@
 	WaitMs int64 `json:"wait_ms"`
 }
 
-func regKey(key string) string { return "cool/" + key }
+// Prefix is what the registers' keys begin with.
+const Prefix = "cool/"
+
+func regKey(key string) string { return Prefix + key }
+
+// Ceil is a wait in whole milliseconds, never shorter.
+func Ceil(w time.Duration) int64 { return (w + time.Millisecond - 1).Milliseconds() }
+
+func decode(b []byte) (value, error) {
+	var v value
+	if err := json.Unmarshal(b, &v); err != nil {
+		return v, code.New(code.Garbled, "cooldown: %w", err)
+	}
+	return v, nil
+}
+
+// WaitOf is the wait that a register's value holds.
+func WaitOf(b []byte) (time.Duration, error) {
+	v, err := decode(b)
+	return time.Duration(v.WaitMs) * time.Millisecond, err
+}
 
 // Key is the cooldown key of a call: the account where one is named, else the
 // tool's route or the model server.
@@ -96,16 +128,16 @@
 func (d *Desk) Seen(key string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	u, ok := d.until[key]
-	if !ok {
-		return 0
-	}
-	w := time.Until(u)
-	if w <= 0 {
-		delete(d.until, key)
-		return 0
+	return max(d.left(key), 0)
+}
+
+// left is the wait by the latest deadline known.
+func (d *Desk) left(key string) time.Duration {
+	u := d.until[key]
+	if e := d.word.told[key].end(); e.After(u) {
+		u = e
 	}
-	return w
+	return time.Until(u)
 }
 
 func (d *Desk) see(key string, w time.Duration) {
@@ -114,22 +146,41 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.narrow(key)
+	// A merge never shortens.
+	if u := time.Now().Add(w); u.After(d.until[key]) {
+		d.until[key] = u
+	}
+}
+
+// narrow lets one call of the key through at first, once its cooldown is over.
+func (d *Desk) narrow(key string) {
+	d.hot.Store(true)
 	g := d.gates[key]
 	if g == nil {
-		g = &gate{}
+		g = &gate{used: time.Now()}
 		d.gates[key] = g
 	}
 	g.most = 1
-	// A merge never shortens.
-	if u := time.Now().Add(w); u.After(d.until[key]) {
-		d.until[key] = u
+}
+
+// widen lets twice as many through after a good answer, unless the key cools.
+func (d *Desk) widen(key string, g *gate) {
+	if d.left(key) > 0 {
+		return
+	}
+	if g.most *= 2; g.most > gateOpen && d.gates[key] == g {
+		delete(d.gates, key)
 	}
 }
 
 // gate bounds the calls of one key that this node has under way at once, after
 // a cooldown: one at first, twice as many with each good answer. A whole backlog
 // let loose at once would only be refused again.
-type gate struct{ most, busy int }
+type gate struct {
+	most, busy int
+	used       time.Time
+}
 
 // gateOpen is where a gate is wide enough to be none.
 const gateOpen = 16
@@ -161,10 +212,9 @@
 	}
 	// Calls from before the gate were never counted in.
 	g.busy = max(g.busy-1, 0)
-	if good && time.Now().After(d.until[key]) {
-		if g.most *= 2; g.most > gateOpen {
-			delete(d.gates, key)
-		}
+	g.used = time.Now()
+	if good {
+		d.widen(key, g)
 	}
 }
 
@@ -186,12 +236,12 @@
 }
 
 func remains(st reg.State) (time.Duration, value, error) {
-	var v value
 	if len(st.Val) == 0 {
-		return 0, v, nil
+		return 0, value{}, nil
 	}
-	if err := json.Unmarshal(st.Val, &v); err != nil {
-		return 0, v, code.New(code.Garbled, "cooldown: %w", err)
+	v, err := decode(st.Val)
+	if err != nil {
+		return 0, v, err
 	}
 	return max(time.Duration(v.WaitMs)*time.Millisecond-st.Age, 0), v, nil
 }
@@ -208,7 +258,7 @@
 		if floor <= left {
 			return v, false, nil
 		}
-		return value{v.Step, floor.Milliseconds()}, true, nil
+		return value{v.Step, Ceil(floor)}, true, nil
 	}
 	step := v.Step + 1
 	if len(st.Val) == 0 || st.Age-time.Duration(v.WaitMs)*time.Millisecond > c.Quiet() {
@@ -219,7 +269,7 @@
 		wait *= 2
 	}
 	wait = max(min(wait, c.Cap()), floor)
-	return value{min(step, 30), wait.Milliseconds()}, true, nil
+	return value{min(step, 30), Ceil(wait)}, true, nil
 }
 
 // Install puts a refusal in force for all and gives the wait. It returns once
@@ -263,6 +313,7 @@
 		return b, true, err
 	})
 	if errors.Is(err, errInForce) {
+		d.noteWrote(key, wait)
 		return wait, nil
 	}
 	if err != nil {
@@ -272,9 +323,17 @@
 	d.installs++
 	d.mu.Unlock()
 	wait, _, err = remains(st)
+	d.noteWrote(key, wait)
 	return wait, err
 }
 
+// noteWrote remembers until when the stores have a cooldown in force.
+func (d *Desk) noteWrote(key string, w time.Duration) {
+	d.mu.Lock()
+	d.wrote[key] = time.Now().Add(w)
+	d.mu.Unlock()
+}
+
 var errInForce = code.New(code.Cooling, "a longer cooldown is in force")
 
 type spread struct {
@@ -288,7 +347,7 @@
 	d.seq++
 	i := &wire.Item{Topic: "cool", Key: d.n.Peer.Self.Id + "/" + key, Epoch: d.n.Peer.Self.Inc, Seq: d.seq, Brief: true}
 	d.mu.Unlock()
-	i.Body, _ = json.Marshal(spread{key, w.Milliseconds()})
+	i.Body, _ = json.Marshal(spread{key, Ceil(w)})
 	go d.n.Board.Publish(context.Background(), i)
 }
 
@@ -301,9 +360,10 @@
 	return nil
 }
 
-// Run writes kept refusals once the tier takes them.
+// Run writes kept refusals once the tier takes them, and forgets what is over.
 func (d *Desk) Run(ctx context.Context) {
 	loop.Every(ctx, 250*time.Millisecond, nil, func(ctx context.Context) {
+		d.sweep()
 		d.mu.Lock()
 		todo := map[string]time.Time{}
 		for k, u := range d.kept {
@@ -370,8 +430,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := map[string]int64{}
-	for k, u := range d.until {
-		if w := time.Until(u); w > 0 {
+	for k := range d.until {
+		if w := d.left(k); w > 0 {
+			out[k] = w.Milliseconds()
+		}
+	}
+	for k := range d.word.told {
+		if w := d.left(k); w > 0 {
 			out[k] = w.Milliseconds()
 		}
 	}
--- a/pass/edge/raw.go
+++ b/pass/edge/raw.go
@@ -6,6 +6,7 @@
 
 	"damsontiller/pass/raw"
 	"damsontiller/pass/roll"
+	"damsontiller/pass/tally"
 	"damsontiller/xport/code"
 	"damsontiller/xport/loop"
 )
@@ -13,21 +14,22 @@
 // Raw is the part of an edge that passes raw jobs.
 type Raw struct {
 	*raw.Door
-	Roll *roll.Roll
-	load *raw.Load
-	pool *raw.Pool
-	e    *Edge
-	p    RawParams
+	Roll  *roll.Roll
+	load  *raw.Load
+	pool  *raw.Pool
+	tally *tally.Tally
+	e     *Edge
+	p     RawParams
 }
 
 // RawParams are its settings.
 type RawParams struct {
 	raw.Params
-	Read time.Duration // between two readings of the list of runners
+	Tally tally.Params
 }
 
 // DefaultRaw are the design's.
-var DefaultRaw = RawParams{Params: raw.DefaultParams, Read: 900 * time.Millisecond}
+var DefaultRaw = RawParams{Params: raw.DefaultParams, Tally: tally.DefaultParams}
 
 // Raw joins the parts of a raw job's way, in one fixed order. It is called before
 // Start.
@@ -36,6 +38,7 @@
 	r.Door = raw.New(p.Params, raw.Parts{Self: e.P.Self, View: e.Realm.Now, Members: e.Lic.Members, Ready: r.Ready, Roll: r.Roll, Load: r.load, Pool: r.pool,
 		Cool: e.Desk, Dialect: dialect, Log: e.Log.Named("raw"),
 		Way: []raw.Policy{raw.NewTurns(p.Turns, e.tier), raw.NewPurses(p.Purses, e.tier, e.bg)}})
+	r.tally = tally.New(p.Tally, e.Node, r.Roll, r.load)
 	return r
 }
 
@@ -50,16 +53,12 @@
 	return nil
 }
 
-// Run keeps the list of runners until ctx ends.
-func (r *Raw) Run(ctx context.Context, list func(context.Context) ([]roll.Runner, error)) {
-	loop.Every(ctx, r.p.Read, nil, func(ctx context.Context) {
-		at := time.Now()
-		all, err := list(ctx)
-		if err != nil {
-			r.e.Log.Warn("list of runners not read", "err", err)
-			return
-		}
-		r.Roll.Take(roll.NewList(at, all))
+// Run keeps the roll, the busyness of its runners and the stores' word on cooldowns
+// until ctx ends.
+func (r *Raw) Run(ctx context.Context, list tally.List) {
+	r.e.Go(ctx, func(ctx context.Context) { r.tally.Run(ctx, list) })
+	r.e.Go(ctx, r.e.Desk.Word)
+	loop.Every(ctx, time.Second, nil, func(context.Context) {
 		on := func(id string) bool { return r.Roll.Now().Get(id) != nil }
 		r.load.Sweep(on)
 		r.pool.Sweep(on)
--- a/pass/raw/door.go
+++ b/pass/raw/door.go
@@ -128,8 +128,9 @@
 	p := web.Of(a.Err)
 	if a.Wait > 0 {
 		// Fractions are understood, and rounded up: never back too early.
-		w.Header().Set("Retry-After", strconv.FormatFloat(float64((a.Wait+time.Millisecond-1).Milliseconds())/1000, 'f', 3, 64))
-		p.WaitMs = a.Wait.Milliseconds()
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(cool.Ceil(a.Wait))/1000, 'f', 3, 64))
+		p.WaitMs = cool.Ceil(a.Wait)
+		p.NotBefore = time.Now().Add(a.Wait + time.Millisecond - 1).UTC().Format("2006-01-02T15:04:05.000Z")
 	}
 	b, _ := json.Marshal(p)
 	w.Header().Set("Content-Type", "application/json")
--- a/pass/raw/load.go
+++ b/pass/raw/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -139,13 +140,30 @@
 	if perS <= 0 || nodes == 0 {
 		return false
 	}
-	r := perS / float64(nodes)
-	if b.cold == nil || b.coldRate != r {
+	r := part(perS, nodes)
+	switch {
+	case b.cold == nil:
 		b.cold, b.coldRate = rate.NewLimiter(rate.Limit(r), 1), r
+	case b.coldRate != r:
+		// The same bucket goes on: a new one would be full at each change of the members.
+		b.cold.SetLimit(rate.Limit(r))
+		b.coldRate = r
 	}
 	return b.cold.Allow()
 }
 
+// part is one node's part of a rate. A second holds as many jobs as its part rounded
+// up. Where views of the members differ by two, two more nodes take a part, so a part
+// that is hardly more than a whole number is that number: six parts of a quarter each
+// then stay within half again the rate and five.
+func part(perS float64, nodes int) float64 {
+	r := perS / float64(nodes)
+	if f := math.Floor(r); f >= 1 && r-f < 1.0/6 {
+		return f
+	}
+	return r
+}
+
 // Ask is what an election rests on.
 type Ask struct {
 	Service *spec.Service
--- a/pass/raw/out.go
+++ b/pass/raw/out.go
@@ -51,7 +51,8 @@
 	collect bool
 	text    bytes.Buffer
 	events  int
-	last    string // id of the last event passed on
+	wrote   bool   // more than the head
+	last    string // id of the last event passed on; empty: it has none
 }
 
 // Begun tells whether the caller has seen the head.
@@ -114,23 +115,25 @@
 	for {
 		l, err := br.ReadSlice('\n')
 		ev = append(ev, l...)
+		if len(ev) > maxEvent {
+			return code.New(code.NotWhole, "an event over %d bytes", maxEvent)
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(ev) > maxEvent {
-				return code.New(code.NotWhole, "an event over %d bytes", maxEvent)
-			}
 			continue
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err
 		}
-		whole := blank(l) && len(ev) > len(l)
+		// What ends without a blank line is passed on and is no event.
+		whole := err == nil && blank(l) && len(ev) > len(l)
 		if whole || err != nil && len(ev) > 0 {
+			// Counted first: of a write that fails the caller may still get all.
+			if o.wrote = true; whole {
+				o.note(ev)
+			}
 			if _, werr := o.w.Write(ev); werr != nil {
 				return errCaller
 			}
-			if whole {
-				o.note(ev)
-			}
 			if err == nil && br.Buffered() == 0 {
 				if werr := rc.Flush(); werr != nil {
 					return errCaller
@@ -151,13 +154,13 @@
 
 // note remembers an event's id and, if asked, its data.
 func (o *Out) note(ev []byte) {
-	data, some := o.text.Len(), false
+	some, named := false, false
 	for l := range bytes.Lines(ev) {
 		k, v, _ := bytes.Cut(bytes.TrimRight(l, "\r\n"), []byte(":"))
 		v = bytes.TrimPrefix(v, []byte(" "))
 		switch string(k) {
 		case "id":
-			o.last = string(v)
+			o.last, named = string(v), true
 		case "data":
 			if o.collect {
 				o.text.Write(v)
@@ -168,8 +171,9 @@
 	}
 	if some {
 		o.events++
-	} else {
-		o.text.Truncate(data)
+		if !named {
+			o.last = ""
+		}
 	}
 }
 
--- a/pass/raw/pool.go
+++ b/pass/raw/pool.go
@@ -201,17 +201,23 @@
 		if r.StatusCode/100 == 1 && r.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		if r.StatusCode < 200 {
+			// Nobody asked for another protocol, and less than 100 is no status.
+			return nil, true, errNoAnswer
+		}
 		if mine(r) {
 			return r, surplus > 0, nil
 		}
 		if surplus++; surplus > maxSurplus || r.Close {
-			r.Body.Close()
 			return nil, true, errSurplus
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, 1<<20)); err != nil {
-			return nil, true, err
+		if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxWhole)); err != nil || n == maxWhole {
+			return nil, true, errors.Join(errSurplus, err)
 		}
 	}
 }
 
-var errSurplus = errors.New("an answer to another job")
+var (
+	errSurplus  = errors.New("an answer to another job")
+	errNoAnswer = errors.New("a status that is no answer")
+)
--- a/pass/raw/purse.go
+++ b/pass/raw/purse.go
@@ -23,7 +23,7 @@
 	bg  job.Bg
 	mu  sync.Mutex
 	due map[string]map[string]int64 // settlements not yet written, by program and try
-	at  [64]sync.Mutex              // changes of one program from this node take turns
+	at  [64]chan struct{}           // changes of one program from this node take turns; each holds a token
 }
 
 // PurseParams are the times of budgets.
@@ -38,7 +38,12 @@
 
 // NewPurses makes the keeper of budgets.
 func NewPurses(p PurseParams, t *tier.Tier, bg job.Bg) *Purses {
-	return &Purses{t: t, p: p, bg: bg, due: map[string]map[string]int64{}}
+	c := &Purses{t: t, p: p, bg: bg, due: map[string]map[string]int64{}}
+	for i := range c.at {
+		c.at[i] = make(chan struct{}, 1)
+		c.at[i] <- struct{}{}
+	}
+	return c
 }
 
 func purseKey(program string) string { return "purse/raw/" + program }
@@ -56,9 +61,12 @@
 
 // change makes f's change of a program's purse together with the settlements due.
 func (p *Purses) change(ctx context.Context, program string, f func(*purse.Value) error) error {
-	l := &p.at[weigh(program, "")%uint64(len(p.at))]
-	l.Lock()
-	defer l.Unlock()
+	// Nobody waits for his turn longer than for the change itself.
+	l := p.at[weigh(program, "")%uint64(len(p.at))]
+	if !loop.Until(ctx, l) {
+		return code.New(code.TierAway, "other changes of budgets are under way: %w", ctx.Err())
+	}
+	defer func() { l <- struct{}{} }()
 	p.mu.Lock()
 	due := map[string]int64{}
 	for k, n := range p.due[program] {
--- /dev/null
+++ b/pass/raw/raw_test.go
@@ -0,0 +1,607 @@
+package raw
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"damsontiller/pass/roll"
+	"damsontiller/proto/spec"
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+)
+
+// TestPickShare: every service gets its weight, one lot always the same.
+func TestPickShare(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var to []spec.Share
+		sum := int64(0)
+		for i, w := range rapid.SliceOfN(rapid.Int64Range(0, 20), 0, 5).Draw(rt, "weights") {
+			to = append(to, spec.Share{Service: fmt.Sprint(i), Weight: w})
+			sum += w
+		}
+		got := map[string]int64{}
+		for lot := range uint64(sum) {
+			s := pickShare(to, lot)
+			if s != pickShare(to, lot+uint64(sum)) {
+				rt.Fatal("not by the lot alone")
+			}
+			got[s]++
+		}
+		for _, s := range to {
+			if got[s.Service] != s.Weight {
+				rt.Fatalf("%s: %d of %d", s.Service, got[s.Service], s.Weight)
+			}
+		}
+		if sum == 0 && pickShare(to, 5) != "" {
+			rt.Fatal("somebody got a lot of nothing")
+		}
+	})
+}
+
+// feed passes a stream through Out and gives what the caller saw.
+func feed(o *Out, body io.Reader) (string, error) {
+	w := httptest.NewRecorder()
+	o.w = w
+	err := o.stream(&http.Response{StatusCode: 200, Header: http.Header{}, Body: io.NopCloser(body)})
+	return w.Body.String(), err
+}
+
+// dribble gives at most n bytes at once, and at last an error.
+type dribble struct {
+	r   io.Reader
+	n   int
+	err error
+}
+
+func (d *dribble) Read(b []byte) (int, error) {
+	n, err := d.r.Read(b[:min(len(b), d.n)])
+	if err == io.EOF && d.err != nil {
+		err = d.err
+	}
+	return n, err
+}
+
+// TestEvents: what passes is unchanged, and its data, ids and count are read as the
+// standard says.
+func TestEvents(t *testing.T) {
+	for _, tc := range []struct {
+		what, in, text, last string
+		events               int
+	}{
+		{"plain", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "a\nb\n", "2", 2},
+		{"CRLF", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", "a\nb\n", "2", 2},
+		{"several lines of data", "id: 1\ndata: a\ndata: b\ndata:\n\n", "a\nb\n\n", "1", 1},
+		{"no space, two spaces", "id:1\ndata:a\ndata:  b\n\n", "a\n b\n", "1", 1},
+		{"data without a colon", "id: 1\ndata\n\n", "\n", "1", 1},
+		{"no data", "id: 1\nevent: x\n\n", "", "1", 0},
+		{"a comment", ": still there\n\nid: 3\ndata: a\n\n: and still\n\n", "a\n", "3", 1},
+		{"another first line", "weights: 4\nid: 1\ndata: a\n\n", "a\n", "1", 1},
+		{"no id after one with", "id: 1\ndata: a\n\ndata: b\n\n", "a\nb\n", "", 2},
+		{"blank lines", "\n\nid: 1\ndata: a\n\n\n\n", "a\n", "1", 1},
+		{"ends inside an event", "id: 1\ndata: a\n\nid: 2\ndata: b\n", "a\n", "1", 1},
+		{"colons in data", "id: 1\ndata: {\"a\": 1}\n\n", "{\"a\": 1}\n", "1", 1},
+		{"nothing", "", "", "", 0},
+		{"long line", "id: 1\ndata: " + strings.Repeat("x", 9000) + "\n\n", strings.Repeat("x", 9000) + "\n", "1", 1},
+	} {
+		for _, n := range []int{1, 7, 1 << 20} {
+			o := &Out{collect: true}
+			got, err := feed(o, &dribble{strings.NewReader(tc.in), n, nil})
+			if err != nil || got != tc.in {
+				t.Errorf("%s: passed %q, %v", tc.what, got, err)
+			}
+			if string(o.Text()) != tc.text || o.last != tc.last || o.events != tc.events {
+				t.Errorf("%s: text %q, last %q, %d events", tc.what, o.Text(), o.last, o.events)
+			}
+		}
+	}
+}
+
+// TestEventCut: of an event that is cut nothing is passed, and no cut looks like an
+// end.
+func TestEventCut(t *testing.T) {
+	whole := "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\ndata: d\n\n"
+	for n := range len(whole) {
+		o := &Out{}
+		got, err := feed(o, &dribble{strings.NewReader(whole[:n]), 5, io.ErrUnexpectedEOF})
+		if !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("cut after %d: %v", n, err)
+		}
+		if !strings.HasPrefix(whole, got) || got != "" && !strings.HasSuffix(got, "\n\n") || o.events != strings.Count(got, "\n\n") {
+			t.Errorf("cut after %d: passed %q, %d events", n, got, o.events)
+		}
+	}
+}
+
+// endless is a stream that never ends an event.
+type endless string
+
+func (e endless) Read(b []byte) (int, error) {
+	n := 0
+	for n+len(e) <= len(b) {
+		n += copy(b[n:], e)
+	}
+	return n, nil
+}
+
+// TestEventHuge: an event without an end is not held without bound, be it of one
+// line or of many.
+func TestEventHuge(t *testing.T) {
+	for _, s := range []string{"x", "data: x\n"} {
+		if got, err := feed(&Out{}, endless(s)); code.Of(err) != code.NotWhole || got != "" {
+			t.Errorf("%q: %d bytes passed, %v", s, len(got), err)
+		}
+	}
+	big := "id: 1\ndata: " + strings.Repeat("x", maxEvent/2) + "\n\n"
+	if got, err := feed(&Out{}, strings.NewReader(big)); err != nil || got != big {
+		t.Errorf("a big event: %d of %d bytes, %v", len(got), len(big), err)
+	}
+}
+
+// TestHop: what concerns one connection stays there, all else goes on unchanged.
+func TestHop(t *testing.T) {
+	from, to := http.Header{}, http.Header{}
+	for k := range hop {
+		from[k] = []string{"x"}
+	}
+	from["Connection"] = []string{"close, x-one", " X-TWO ,"}
+	from["X-One"], from["X-Two"], from["Content-Length"] = []string{"1"}, []string{"2"}, []string{"3"}
+	from["X-Three"], from["Set-Cookie"], from["Etag"] = []string{""}, []string{"a", "b"}, []string{"x"}
+	pass(to, from)
+	if len(to) != 3 || len(to["Set-Cookie"]) != 2 || to["X-Three"][0] != "" {
+		t.Errorf("%v", to)
+	}
+}
+
+// pair is a runner's connection on loopback, as the pool sees it: real sockets, so
+// that what lies unread in one is seen.
+func pair(t *testing.T) (*Pool, *roll.Runner, func() net.Conn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	var d net.Dialer
+	p := NewPool(DefaultPool, func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) })
+	t.Cleanup(func() { p.Sweep(func(string) bool { return false }) })
+	return p, &roll.Runner{ID: "i-1", Addr: ln.Addr().String()}, func() net.Conn {
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+}
+
+// TestPoolClean: a connection is used again after a clean end, and not where the
+// runner has closed it or said something unasked meanwhile, nor past its rest.
+func TestPoolClean(t *testing.T) {
+	for _, tc := range []struct {
+		what  string
+		rest  time.Duration
+		spoil func(c *conn, r net.Conn)
+		again bool
+	}{
+		{"clean", time.Minute, func(*conn, net.Conn) {}, true},
+		{"closed", time.Minute, func(_ *conn, r net.Conn) { r.Close() }, false},
+		{"reset", time.Minute, func(_ *conn, r net.Conn) { _ = r.(*net.TCPConn).SetLinger(0); r.Close() }, false},
+		{"a byte too many", time.Minute, func(_ *conn, r net.Conn) { _, _ = r.Write([]byte("x")) }, false},
+		{"a byte too many already read", time.Minute, func(c *conn, r net.Conn) { _, _ = r.Write([]byte("x")); _, _ = c.br.Peek(1) }, false},
+		{"no rest", 0, func(*conn, net.Conn) {}, false},
+		{"past its rest", time.Nanosecond, func(*conn, net.Conn) {}, false},
+		{"swept", time.Minute, nil, false},
+	} {
+		p, r, accept := pair(t)
+		c, err := p.get(t.Context(), r, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		far := accept()
+		if tc.spoil != nil {
+			tc.spoil(c, far)
+		}
+		p.put(r, c, tc.rest)
+		if tc.spoil == nil {
+			p.Sweep(func(id string) bool { return id != r.ID })
+		} else {
+			p.Sweep(func(id string) bool { return id == r.ID })
+		}
+		// What the far side did takes a moment to arrive: the poller sees when.
+		if !tc.again && tc.rest == time.Minute && tc.spoil != nil && c.br.Buffered() == 0 {
+			arrived(t, c.c)
+		}
+		d, err := p.get(t.Context(), r, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if (c == d) != tc.again || p.Made() != map[bool]uint64{true: 1, false: 2}[tc.again] {
+			t.Errorf("%s: used again %v, %d made", tc.what, c == d, p.Made())
+		}
+		d.c.Close()
+		c.c.Close()
+	}
+}
+
+// arrived waits until there is something to be read, and leaves it there.
+func arrived(t *testing.T, c net.Conn) {
+	rc, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = rc.Read(func(fd uintptr) bool {
+		b := make([]byte, 1)
+		_, _, err := syscall.Recvfrom(int(fd), b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+}
+
+// TestPoolKeys: a connection is for one runner process at one address.
+func TestPoolKeys(t *testing.T) {
+	p, r, accept := pair(t)
+	c, err := p.get(t.Context(), r, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accept()
+	p.put(r, c, time.Minute)
+	d, err := p.get(t.Context(), &roll.Runner{ID: "i-2", Addr: r.Addr}, false)
+	if err != nil || d == c {
+		t.Errorf("another process at the address got the connection, %v", err)
+	}
+	accept()
+	d.c.Close()
+	if d, err = p.get(t.Context(), r, true); err != nil || d == c {
+		t.Errorf("a fresh one was asked for, %v", err)
+	}
+	d.c.Close()
+}
+
+// TestPoolBound: no more connections rest than are allowed.
+func TestPoolBound(t *testing.T) {
+	p, r, accept := pair(t)
+	p.p.Idle = 2
+	var cs []*conn
+	for range 4 {
+		c, err := p.get(t.Context(), r, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		accept()
+		cs = append(cs, c)
+	}
+	for _, c := range cs {
+		p.put(r, c, time.Minute)
+	}
+	if n := len(p.idle[key(r)]); n != 2 {
+		t.Errorf("%d rest", n)
+	}
+}
+
+// TestRest: how long a connection may be idle, by the runner's word.
+func TestRest(t *testing.T) {
+	p := NewPool(DefaultPool, nil)
+	for _, tc := range []struct {
+		keep string
+		shut bool
+		want time.Duration
+	}{
+		{"", false, DefaultPool.Rest}, {"timeout=5", false, 4500 * time.Millisecond}, {"max=3, Timeout=5", false, 4500 * time.Millisecond},
+		{"timeout=600", false, DefaultPool.Rest}, {"timeout=0", false, -500 * time.Millisecond}, {"timeout=x", false, 0}, {"timeout=5", true, 0}, {"", true, 0},
+	} {
+		r := &http.Response{Header: http.Header{}, Close: tc.shut}
+		if tc.keep != "" {
+			r.Header.Set("Keep-Alive", tc.keep)
+		}
+		if got := p.rest(r); got != tc.want {
+			t.Errorf("%q, close %v: %s, want %s", tc.keep, tc.shut, got, tc.want)
+		}
+	}
+}
+
+// TestAnswer: past provisional answers and answers to other jobs, within bounds;
+// what is no answer is none.
+func TestAnswer(t *testing.T) {
+	mine := "HTTP/1.1 200 OK\r\nTry: a\r\nContent-Length: 2\r\n\r\nok"
+	other := "HTTP/1.1 200 OK\r\nTry: b\r\nContent-Length: 5\r\n\r\nother"
+	for _, tc := range []struct {
+		in            string
+		good, surplus bool
+	}{
+		{mine, true, false},
+		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + mine, true, false},
+		{other + mine, true, true},
+		{other + other + other + mine, true, true},
+		{other + other + other + other + mine, false, true},
+		{"HTTP/1.1 200 OK\r\nTry: b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n" + mine, true, true},
+		{"HTTP/1.1 200 OK\r\nTry: b\r\n\r\nup to the end" + mine, false, true},
+		{"HTTP/1.1 200 OK\r\nTry: b\r\nContent-Length: 500000\r\n\r\n" + strings.Repeat("x", 500000) + mine, false, true},
+		{"HTTP/1.1 101 Switching Protocols\r\nTry: a\r\n\r\n", false, false},
+		{"HTTP/1.1 099 Less\r\nTry: a\r\n\r\n", false, false},
+		{"HTTP/1.1 2xx OK\r\n\r\n", false, false},
+		{"nothing of the kind\r\n\r\n", false, false},
+		{"", false, false},
+	} {
+		c := &conn{br: bufio.NewReader(strings.NewReader(tc.in))}
+		r, surplus, err := c.answer(&http.Request{Method: "GET"}, func(r *http.Response) bool { return r.Header.Get("Try") != "b" })
+		if (err == nil) != tc.good || tc.good && surplus != tc.surplus {
+			t.Errorf("%.60q: %v, surplus %v", tc.in, err, surplus)
+		}
+		if tc.good {
+			if b, _ := io.ReadAll(r.Body); string(b) != "ok" {
+				t.Errorf("%.60q: body %q", tc.in, b)
+			}
+		}
+	}
+}
+
+// TestProven: only an answer that says where it ends can be known to be whole.
+func TestProven(t *testing.T) {
+	for s, want := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok":                 true,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": true,
+		"HTTP/1.1 204 No Content\r\n\r\n":                                true,
+		"HTTP/1.1 200 OK\r\n\r\nok":                                      false,
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok":                 false,
+		"HTTP/1.0 200 OK\r\n\r\nok":                                      false,
+	} {
+		r, err := http.ReadResponse(bufio.NewReader(strings.NewReader(s)), &http.Request{Method: "GET"})
+		if err != nil || proven(r) != want {
+			t.Errorf("%q: %v, want %v, %v", s, err == nil && proven(r), want, err)
+		}
+	}
+}
+
+// TestWrite: a target goes out as it came in.
+func TestWrite(t *testing.T) {
+	for _, uri := range []string{"/", "/a//b/?", "//", "///x//y?//z", "//h.test/x?", "/%2F%2f"} {
+		d := &Door{pt: Parts{Dialect: nothing{}}}
+		q := d.request(&Job{Context: t.Context(), Path: &spec.Path{}, Body: []byte("body"), Req: &http.Request{Method: "POST", RequestURI: uri, Host: "h.test", Header: http.Header{}}}, &Out{}, &roll.Runner{Addr: "10.0.0.1:1"})
+		var b bytes.Buffer
+		if err := write(&b, q); err != nil {
+			t.Fatal(err)
+		}
+		got, err := http.ReadRequest(bufio.NewReader(&b))
+		if err != nil || got.RequestURI != uri || got.Host != "h.test" || len(got.Header) != 1 {
+			t.Errorf("%s went out as %+v, %v", uri, got, err)
+		}
+	}
+}
+
+type nothing struct{}
+
+func (nothing) Read(*http.Request, *Job) error                           { return nil }
+func (nothing) Send(http.Header, *Job, *roll.Runner, time.Duration, int) {}
+func (nothing) Resume(http.Header, string)                               {}
+func (nothing) Heard(*http.Response) Word                                { return Word{} }
+
+func any(*roll.Runner) bool  { return true }
+func none(*roll.Runner) bool { return false }
+
+// runners are n in each of the zones.
+func runners(room, n int, zones ...string) *roll.List {
+	var all []roll.Runner
+	for _, z := range zones {
+		for i := range n {
+			all = append(all, roll.Runner{ID: fmt.Sprintf("i-%s%d", z, i), Service: "s", Zone: z, Room: room})
+		}
+	}
+	return roll.NewList(time.Now(), all)
+}
+
+// TestElectHome: jobs of one key go to one runner of this node's zone, elsewhere
+// only once those are much busier or full; jobs without a key to the least busy.
+func TestElectHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, list := NewLoad(), runners(8, 3, "a", "b")
+		ask := Ask{Service: &spec.Service{Name: "s"}, List: list, Zone: "b", Key: "k", May: any, Cold: none}
+		first, room := l.Elect(ask)
+		if first.Zone != "b" || !room {
+			t.Fatalf("%+v", first)
+		}
+		var done []func()
+		seen := map[string]int{}
+		for range 6 * 8 {
+			r, room := l.Elect(ask)
+			if !room {
+				t.Fatal("no room")
+			}
+			seen[r.ID]++
+			done = append(done, l.Enter(r.ID, 0))
+		}
+		for id, n := range seen {
+			if n > 8 {
+				t.Errorf("%s bears 8 and got %d", id, n)
+			}
+		}
+		if r, room := l.Elect(ask); r == nil || room {
+			t.Errorf("all are full: %v %v", r, room)
+		}
+		for _, f := range done {
+			f()
+		}
+		if r, _ := l.Elect(ask); r != first {
+			t.Errorf("the key went to %s, before to %s", r.ID, first.ID)
+		}
+		ask.Key = ""
+		l.Enter("i-b0", 0)
+		l.Enter("i-b1", 0)
+		if r, _ := l.Elect(ask); r.ID != "i-b2" {
+			t.Errorf("least busy at home is i-b2, elected %s", r.ID)
+		}
+	})
+}
+
+// TestElectNever: nobody is elected that leaves, is kept away from, or may not be.
+func TestElectNever(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := NewLoad()
+		var all []roll.Runner
+		not := map[string]bool{}
+		for i := range rapid.IntRange(0, 8).Draw(rt, "runners") {
+			r := roll.Runner{ID: fmt.Sprint(i), Service: "s", Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "zone"), Room: rapid.IntRange(0, 3).Draw(rt, "room")}
+			switch rapid.IntRange(0, 5).Draw(rt, "state") {
+			case 0:
+				r.Leaving, not[r.ID] = true, true
+			case 1:
+				l.Avoid(r.ID, time.Second)
+				not[r.ID] = true
+			case 2:
+				not[r.ID] = true
+			case 3:
+				r.Service, not[r.ID] = "other", true
+			}
+			for range rapid.IntRange(0, 4).Draw(rt, "busy") {
+				l.Enter(r.ID, 10)
+			}
+			all = append(all, r)
+		}
+		ask := Ask{Service: &spec.Service{Name: "s"}, List: roll.NewList(time.Now(), all), Zone: "a", Key: rapid.SampledFrom([]string{"", "k"}).Draw(rt, "key"),
+			May: func(r *roll.Runner) bool { return !not[r.ID] }, Cold: none}
+		r, room := l.Elect(ask)
+		switch {
+		case r == nil && len(not) < len(all):
+			rt.Fatal("nobody was elected")
+		case r != nil && not[r.ID]:
+			rt.Fatalf("%s was elected", r.ID)
+		case r != nil && room && l.Own()[r.ID].N >= max(r.Room, 1):
+			rt.Fatalf("%s has no room", r.ID)
+		}
+	})
+}
+
+// TestCold: in no second do all nodes together send a fresh runner more than half
+// again its rate and five: of six nodes and more also while their views of who is
+// there differ by two, of fewer while all see the same who come and go.
+func TestCold(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 4, 6, 64} {
+		rapid.Check(t, func(rt *rapid.T) {
+			rps := rapid.OneOf(rapid.SampledFrom([]float64{0.5, 1, 4, 8, 8.1, 22, 40}), rapid.Float64Range(0.2, 60)).Draw(rt, "rate")
+			rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+			var err error
+			synctest.Test(t, func(*testing.T) { err = coldRun(n, rps, rnd) })
+			if err != nil {
+				rt.Fatal(err)
+			}
+		})
+	}
+}
+
+// coldRun plays three seconds.
+func coldRun(n int, rps float64, rnd *rand.Rand) error {
+	var all []*wire.Member
+	for i := range n {
+		all = append(all, &wire.Member{Id: fmt.Sprintf("e%d", i+1), Role: "edge", Live: true})
+	}
+	list := runners(100, 1, "a")
+	service := &spec.Service{Name: "s", ColdRate: rps}
+	type edge struct {
+		l *Load
+		d *Door
+	}
+	var edges []edge
+	views := make([][]*wire.Member, n)
+	mix := func() {
+		if n < 6 {
+			v := all[:1+rnd.IntN(n)]
+			for i := range n {
+				views[i] = v
+			}
+			return
+		}
+		for i := range n {
+			// Each sees all but up to two others.
+			v := append([]*wire.Member(nil), all...)
+			for range rnd.IntN(3) {
+				if k := rnd.IntN(len(v)); v[k] != all[i] {
+					v = append(v[:k], v[k+1:]...)
+				}
+			}
+			views[i] = v
+		}
+	}
+	mix()
+	for i := range n {
+		edges = append(edges, edge{NewLoad(), &Door{pt: Parts{Self: all[i], Members: func() []*wire.Member { return views[i] }}}})
+	}
+	var at []time.Time
+	for range 300 {
+		time.Sleep(10 * time.Millisecond)
+		if rnd.IntN(20) == 0 {
+			mix()
+		}
+		for i, e := range edges {
+			if n < 6 && i >= len(views[i]) {
+				continue
+			}
+			for range rnd.IntN(3) {
+				if r, _ := e.l.Elect(Ask{Service: service, List: list, Zone: "a", May: any, Cold: any, Shares: func(r *roll.Runner) int { return e.d.shares(r, rps) }}); r != nil {
+					at = append(at, time.Now())
+				}
+			}
+		}
+	}
+	most := rps*1.5 + 5
+	for i := range at {
+		k := i
+		for k < len(at) && at[k].Sub(at[i]) < time.Second {
+			k++
+		}
+		if float64(k-i) > most {
+			return fmt.Errorf("%d nodes sent %d in a second, %g are allowed", n, k-i, most)
+		}
+	}
+	if want := rps * 3 * 0.4; float64(len(at)) < want && n <= 6 {
+		return fmt.Errorf("%d nodes sent %d in three seconds, the rate is %g", n, len(at), rps)
+	}
+	return nil
+}
+
+// TestRefills: a zone in use again is told from one that always was.
+func TestRefills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var z refills
+		if !z.see(nil, "a").IsZero() || !z.see([]string{"a"}, "a").IsZero() {
+			t.Error("nobody refilled it")
+		}
+		time.Sleep(time.Second)
+		at := time.Now()
+		if got := z.see(nil, "a"); !got.Equal(at) || !z.see(nil, "b").IsZero() {
+			t.Errorf("refilled at %s, want %s", got, at)
+		}
+		time.Sleep(time.Second)
+		if got := z.see([]string{"b"}, "a"); !got.Equal(at) {
+			t.Errorf("refilled at %s, want %s", got, at)
+		}
+	})
+}
+
+// TestBody: with a length, without, and bounds.
+func TestBody(t *testing.T) {
+	for _, tc := range []struct {
+		length int64
+		in     string
+		want   code.Code
+	}{
+		{0, "", code.OK}, {3, "abc", code.OK}, {5, "abcde", code.OK}, {6, "abcdef", code.TooLarge}, {-1, "", code.OK}, {-1, "abcde", code.OK}, {-1, "abcdef", code.TooLarge}, {5, "abc", code.BadJSON},
+	} {
+		b, err := body(&http.Request{ContentLength: tc.length, Body: io.NopCloser(strings.NewReader(tc.in))}, 5)
+		if code.Of(err) != tc.want || err == nil && string(b) != tc.in {
+			t.Errorf("%d %q: %q, %v", tc.length, tc.in, b, err)
+		}
+	}
+}
--- a/pass/raw/send.go
+++ b/pass/raw/send.go
@@ -99,7 +99,7 @@
 	}
 	return d.pt.Load.Elect(Ask{Service: j.Service, List: l, Zone: d.pt.Self.Zone, Key: k, Tokens: j.In + j.Most,
 		May: func(r *roll.Runner) bool {
-			return !tried[r.ID] && !v.Spec.Empty(r.Zone) && d.pt.Cool.Seen(coolKey(r)) <= 0
+			return !tried[r.ID] && !v.Spec.Empty(r.Zone) && (d.pt.Cool.Calm() || d.pt.Cool.Open(coolKey(r)))
 		},
 		Cold: func(r *roll.Runner) bool {
 			if j.Service.ColdRate <= 0 {
@@ -114,7 +114,7 @@
 			s := d.zone.see(v.Spec.EmptyZones, r.Zone)
 			return !s.IsZero() && l.At.Before(s.Add(d.p.List)) && time.Since(s) < time.Duration(j.Service.ColdMs)*time.Millisecond+d.p.List
 		},
-		Shares: d.shares,
+		Shares: func(r *roll.Runner) int { return d.shares(r, j.Service.ColdRate) },
 	})
 }
 
@@ -122,22 +122,27 @@
 
 // shares is among how many nodes a fresh runner's rate is dealt, 0 where this one
 // has no part: the few edges that the runner's id points to.
-func (d *Door) shares(r *roll.Runner) int {
+func (d *Door) shares(r *roll.Runner, perS float64) int {
+	most := Shares
+	if perS < 1 {
+		// Each may send one at once, which is most of what so slow a runner bears.
+		most--
+	}
 	mine := weigh(d.pt.Self.Id, r.ID)
-	n, above := 0, 0
+	n, above := 1, 0 // this one counts, whatever the others think of it
 	for _, m := range d.pt.Members() {
-		if m.Role != "edge" || !m.Live {
+		if m.Role != "edge" || !m.Live || m.Id == d.pt.Self.Id {
 			continue
 		}
 		n++
-		if m.Id != d.pt.Self.Id && weigh(m.Id, r.ID) > mine {
+		if weigh(m.Id, r.ID) > mine {
 			above++
 		}
 	}
-	if above >= Shares {
+	if above >= most {
 		return 0
 	}
-	return min(max(n, 1), Shares)
+	return min(n, most)
 }
 
 // place waits for a runner with a free place, as long as a part of the job's aim,
@@ -155,6 +160,13 @@
 			return r, Answer{}
 		}
 		left := min(time.Until(until), j.Left())
+		if r == nil {
+			// Where a cooldown is all that stands in the way, a job is held as long as
+			// for a place and no longer: else it hears at once when to come back.
+			if soon, all := d.cooling(j, tried); all > 0 && (soon <= 0 || soon > left) {
+				return nil, Refuse(code.New(code.Cooling, "all runners of %s are cooling down for %d ms", j.Service.Name, cool.Ceil(all)), all)
+			}
+		}
 		if left <= 0 {
 			if r == nil {
 				return nil, noRunner(j, "none may be sent a job now")
@@ -173,18 +185,65 @@
 	}
 }
 
+// refusedWait is when a caller may come back whom one runner refused while others
+// are clear.
+const refusedWait = 100 * time.Millisecond
+
+// cooling tells when the first of a service's runners is clear again, 0 where not
+// all are cooling down: soon of those not tried yet, all of any. Runners that leave
+// or stand in an emptied zone count for nothing.
+func (d *Door) cooling(j *Job, tried map[string]bool) (soon, all time.Duration) {
+	if d.pt.Cool.Calm() {
+		return 0, 0
+	}
+	v := d.pt.View()
+	for _, r := range d.pt.Roll.Now().Of(j.Service.Name) {
+		if r.Leaving || v.Spec.Empty(r.Zone) {
+			continue
+		}
+		w := d.pt.Cool.Seen(coolKey(r))
+		switch {
+		case w <= 0 && !tried[r.ID]:
+			return 0, 0
+		case w <= 0:
+			// It was tried, and something else stands against it.
+			continue
+		}
+		if all == 0 || w < all {
+			all = w
+		}
+		if !tried[r.ID] && (soon == 0 || w < soon) {
+			soon = w
+		}
+	}
+	return soon, all
+}
+
+// unsure takes the promise out of a refusal where an earlier send may have run.
+func unsure(a Answer, ran bool) Answer {
+	if ran && a.NotRun() {
+		return Answer{Err: code.New(code.OutcomeUnknown, "an earlier send may have run; then: %s", code.Text(a.Err))}
+	}
+	return a
+}
+
 // pass is the end of the way: elect, send, and the word on what became of it.
 // What may have run is sent again only where the path says that it may.
 func (d *Door) pass(j *Job, w *Out) Answer {
 	tried := map[string]bool{}
 	sent := 0
+	ran := false // it may have
 	for {
 		r, a := d.place(j, tried)
 		if r == nil {
-			return a
+			return unsure(a, ran)
+		}
+		in, ok := d.pt.Cool.Admit(j, coolKey(r), j.Left())
+		if !ok {
+			continue
 		}
 		tried[r.ID] = true
-		x := d.send(j, w, r)
+		x := d.send(j, w, r, in)
 		switch {
 		case x.good:
 			return Answer{Good: true}
@@ -200,17 +259,29 @@
 			if more && j.Left() > 0 && j.Err() == nil {
 				continue
 			}
-			return Refuse(x.err, x.wait)
+			if _, all := d.cooling(j, nil); code.Of(x.err) == code.RunnerDrop {
+				x.wait = max(all, refusedWait)
+			}
+			return unsure(Refuse(x.err, x.wait), ran)
 		}
+		ran = true
 		if !more || !j.Repeatable() || j.Left() <= 0 || j.Err() != nil {
 			return Answer{Err: x.err}
 		}
-		if w.begun && (!j.Path.Resumable || w.last == "") {
+		// Where the caller has only the head, or the last event has a name, another run
+		// can go on from there.
+		if w.begun && (!j.Path.Resumable || w.last == "" && w.wrote) {
 			return Answer{Err: x.err}
 		}
 	}
 }
 
+// may tells whether a runner may still be sent to: dialling takes a while.
+func (d *Door) may(r *roll.Runner) bool {
+	now := d.pt.Roll.Now().Get(r.ID)
+	return now != nil && !now.Leaving && now.Addr == r.Addr && !d.pt.View().Spec.Empty(r.Zone)
+}
+
 // sending is what became of one send.
 type sending struct {
 	good   bool // a whole answer, passed on
@@ -221,15 +292,18 @@
 	wait   time.Duration
 }
 
-func (d *Door) send(j *Job, w *Out, r *roll.Runner) sending {
+func (d *Door) send(j *Job, w *Out, r *roll.Runner, in *cool.Pass) sending {
 	done := d.pt.Load.Enter(r.ID, j.In+j.Most)
 	defer func() { done(); d.free.tell() }()
+	defer in.Leave()
 	ctx, stop := context.WithDeadline(j, j.Cutoff)
 	defer stop()
 	c, err := d.pt.Pool.get(ctx, r, false)
 	if err != nil {
 		// Nothing went out. It may be gone, or have too many connections.
-		d.pt.Load.Avoid(r.ID, d.p.Avoid)
+		if ctx.Err() == nil {
+			d.pt.Load.Avoid(r.ID, d.p.Avoid)
+		}
 		return sending{notRun: true, wait: 150 * time.Millisecond, err: code.New(code.NoRunner, "runner %s can't be reached: %w", r.ID, err)}
 	}
 	clean := false
@@ -242,13 +316,19 @@
 	_ = c.c.SetDeadline(j.Cutoff)
 	undo := context.AfterFunc(ctx, func() { _ = c.c.SetDeadline(time.Unix(1, 0)) })
 	defer undo()
+	if !d.may(r) {
+		return sending{notRun: true, wait: refusedWait, err: code.New(code.NoRunner, "runner %s may not be sent to any more", r.ID)}
+	}
 	q := d.request(j, w, r)
 	// An edge that slept wakes up here: nothing goes out past the cutoff, nor to a
 	// runner that may not be sent to any more.
 	if j.Left() <= 0 || j.Err() != nil {
 		return sending{notRun: true, err: code.New(code.CutoffPassed, "no time is left")}
 	}
-	if err := q.Write(c.c); err != nil {
+	if !in.Stands(j, j.Left()) {
+		return sending{notRun: true, wait: d.pt.Cool.Seen(coolKey(r)), err: code.New(code.Cooling, "runner %s cools down", r.ID)}
+	}
+	if err := write(c.c, q); err != nil {
 		return d.lost(j, r, c, err)
 	}
 	var word Word
@@ -259,21 +339,32 @@
 	if err != nil {
 		return d.lost(j, r, c, err)
 	}
-	defer res.Body.Close()
+	// The body is not closed: that would read it to its end, and who is done with an
+	// answer early is done with its connection.
 	if word.Cold > 0 {
 		d.pt.Load.Chill(r.ID, word.Cold)
 	}
 	if word.NotRun || word.Other {
 		x := d.refused(j, r, res, word)
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, 64<<10)); err == nil && !surplus && undo() {
+		if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxRefusal)); err == nil && n < maxRefusal && !surplus && undo() {
 			clean = true
 			d.pt.Pool.put(r, c, d.pt.Pool.rest(res))
 		}
 		return x
 	}
+	if j.View.Spec.Cooldown.Refusal(res.StatusCode) {
+		// A rate limit all the same, where it does not say that the job did not run.
+		d.pt.Cool.Refused(j, coolKey(r), cool.RetryAfter(res.Header))
+	}
+	if res.StatusCode/100 == 2 {
+		in.Good()
+	}
 	if res.StatusCode/100 == 2 && (!word.Sealed || word.Try == "") {
 		return sending{sent: true, err: code.New(code.NotWhole, "a success from %s without its mark", r.ID)}
 	}
+	if !proven(res) {
+		return sending{sent: true, err: code.New(code.NotWhole, "an answer from %s that does not say where it ends", r.ID)}
+	}
 	if promise[res.StatusCode] {
 		// It does not say that it did not run the job, so neither may we.
 		return sending{sent: true, err: code.New(code.RunnerProblem, "runner %s answered %d", r.ID, res.StatusCode)}
@@ -302,6 +393,15 @@
 	return sending{told: true, sent: true}
 }
 
+// maxRefusal bounds what is read past of a refusal, to use its connection again.
+const maxRefusal = 64 << 10
+
+// proven tells whether an answer says where it ends; one that ends with its
+// connection can't be told from one that was cut off.
+func proven(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Request.Method == http.MethodHead
+}
+
 // promise are the statuses by which callers hear that a job did not run.
 var promise = map[int]bool{http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
 
@@ -328,6 +428,24 @@
 	return q
 }
 
+// write sends a request. Where its target begins with two slashes the library would
+// put a scheme before them, so all but the last are put in afterwards.
+func write(w io.Writer, q *http.Request) error {
+	p := q.URL.Opaque
+	if !strings.HasPrefix(p, "//") {
+		return q.Write(w)
+	}
+	var b bytes.Buffer
+	q.URL.Opaque = "/" + strings.TrimLeft(p, "/")
+	if err := q.Write(&b); err != nil {
+		return err
+	}
+	at := len(q.Method) + 1
+	more := p[:len(p)-len(q.URL.Opaque)]
+	_, err := io.WriteString(w, b.String()[:at]+more+b.String()[at:])
+	return err
+}
+
 // lost sorts out a send without a whole answer: it may have run.
 func (d *Door) lost(j *Job, r *roll.Runner, c *conn, err error) sending {
 	if j.Err() == nil && !broken(err) {
@@ -346,14 +464,14 @@
 
 // refused sorts out a clear word that the job did not run.
 func (d *Door) refused(j *Job, r *roll.Runner, res *http.Response, word Word) sending {
-	x := sending{sent: true, notRun: true, wait: 100 * time.Millisecond}
+	x := sending{sent: true, notRun: true, wait: refusedWait}
 	switch {
 	case word.Other:
 		// Somebody else has the address: the runner is gone.
 		d.pt.Load.Avoid(r.ID, 10*d.p.Avoid)
 		x.err = code.New(code.NoRunner, "runner %s is gone from its address", r.ID)
 	case j.View.Spec.Cooldown.Refusal(res.StatusCode):
-		x.wait = d.pt.Cool.Install(j, coolKey(r), cool.RetryAfter(res.Header))
+		x.wait = d.pt.Cool.Refused(j, coolKey(r), cool.RetryAfter(res.Header))
 		x.err = code.New(code.RunnerDrop, "runner %s refused with status %d", r.ID, res.StatusCode)
 	default:
 		d.pt.Load.Avoid(r.ID, d.p.Avoid/20)
--- a/pass/raw/turn.go
+++ b/pass/raw/turn.go
@@ -143,6 +143,7 @@
 	now := time.Now()
 	errs := make(chan error, len(chain)+1)
 	n := 1
+	var renewed []*turn
 	put := func(t *turn) {
 		errs <- c.t.PutBlob(ctx, turnKey(t.id), wire.Encode(t.Turn), keep+c.p.Slack)
 	}
@@ -151,7 +152,7 @@
 			n++
 			fresh := &turn{id: b.id, until: now.Add(keep + c.p.Slack), Turn: b.Turn}
 			go put(fresh)
-			c.remember(fresh)
+			renewed = append(renewed, fresh)
 		}
 	}
 	t.until = now.Add(keep + c.p.Slack)
@@ -165,6 +166,10 @@
 	if err != nil {
 		return code.New(code.NotKept, "the turn ran but could not be kept: %w", err)
 	}
+	// Only now: a renewal that failed must be tried again by the next turn.
+	for _, r := range renewed {
+		c.remember(r)
+	}
 	c.remember(t)
 	return nil
 }
--- a/pass/roll/roll.go
+++ b/pass/roll/roll.go
@@ -76,3 +76,14 @@
 		}
 	}
 }
+
+// Touch says that a later reading was the same as the one in force.
+func (r *Roll) Touch(at time.Time) {
+	old := r.cur.Load()
+	if at.After(old.At) {
+		// A runner's time left counts from the reading that told it.
+		l := *old
+		l.At = at
+		r.cur.CompareAndSwap(old, &l)
+	}
+}
--- /dev/null
+++ b/pass/roll/roll_test.go
@@ -0,0 +1,40 @@
+package roll_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"damsontiller/pass/roll"
+)
+
+// TestList: runners by service and id, in one order on every node.
+func TestList(t *testing.T) {
+	l := roll.NewList(time.Now(), []roll.Runner{{ID: "c", Service: "x"}, {ID: "a", Service: "x"}, {ID: "b", Service: "y"}})
+	if x := l.Of("x"); len(x) != 2 || x[0].ID != "a" || x[1].ID != "c" || len(l.Of("y")) != 1 || len(l.Of("z")) != 0 {
+		t.Errorf("%v", l.All)
+	}
+	if l.Get("b") != l.Of("y")[0] || l.Get("nobody") != nil {
+		t.Error("by id")
+	}
+}
+
+// TestTake: the latest reading stands, whoever comes last.
+func TestTake(t *testing.T) {
+	r, at := roll.New(), time.Now()
+	if len(r.Now().All) != 0 {
+		t.Error("somebody is on a new roll")
+	}
+	var wg sync.WaitGroup
+	for i := range 100 {
+		wg.Go(func() { r.Take(roll.NewList(at.Add(time.Duration(i)*time.Millisecond), []roll.Runner{{ID: fmt.Sprint(i)}})) })
+	}
+	wg.Wait()
+	if r.Now().Get("99") == nil {
+		t.Errorf("%v stands", r.Now().All)
+	}
+	if r.Take(roll.NewList(at, nil)) || r.Now().Get("99") == nil {
+		t.Error("an earlier reading was taken")
+	}
+}
--- /dev/null
+++ b/pass/store/cool.go
@@ -0,0 +1,106 @@
+package store
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"damsontiller/coord/core"
+	"damsontiller/pass/cool"
+	"damsontiller/proto/wire"
+	"damsontiller/state/vault"
+)
+
+// cooldowns is the disk as the acceptor sees it, with what is left of each cooldown
+// in memory: the edges ask for it too often to look on the disk each time.
+type cooldowns struct {
+	*vault.Vault
+	mu sync.Mutex
+	// all are the cooldowns among the registers, until their value is let go: one
+	// that is over and is saved again by a vote does not begin anew.
+	all   map[string]*cooldown
+	force map[string]*cooldown // those of all that may be in force
+}
+
+type cooldown struct {
+	ver, op uint64
+	at      time.Time // since when it is counted here
+	wait    time.Duration
+}
+
+// newCooldowns takes what the folder holds. It counts on where the folder's own
+// time says that it lay here before; that time stands still while nothing runs, and
+// may be set back by a crash, so it is never too long.
+func newCooldowns(v *vault.Vault) (*cooldowns, error) {
+	c := &cooldowns{Vault: v, all: map[string]*cooldown{}, force: map[string]*cooldown{}}
+	now := time.Now()
+	err := v.Registers(cool.Prefix, func(k string, r *wire.Rec) {
+		age := time.Duration(0)
+		if r.AtMs > 0 {
+			age = max(v.Since(r), 0)
+		}
+		c.note(k, r, now.Add(-age))
+	})
+	return c, err
+}
+
+// Save returns once the record is synced.
+func (c *cooldowns) Save(key string, r *wire.Rec) error {
+	if err := c.Vault.Save(key, r); err != nil {
+		return err
+	}
+	if strings.HasPrefix(key, cool.Prefix) {
+		c.note(key, r, time.Now())
+	}
+	return nil
+}
+
+func (c *cooldowns) note(key string, r *wire.Rec, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !r.Cell.GetTimed() {
+		delete(c.all, key)
+		delete(c.force, key)
+		return
+	}
+	op := uint64(0)
+	if n := len(r.Cell.Ops); n > 0 {
+		op = r.Cell.Ops[n-1]
+	}
+	if d := c.all[key]; d != nil && d.ver == r.Cell.Ver && d.op == op {
+		return
+	}
+	w, err := cool.WaitOf(r.Cell.Val)
+	if err != nil {
+		// Whoever changes the register next meets the same problem and says so.
+		return
+	}
+	d := &cooldown{ver: r.Cell.Ver, op: op, at: at, wait: w}
+	c.all[key], c.force[key] = d, d
+}
+
+// left lists what is in force.
+func (c *cooldowns) left() []*wire.Cool {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*wire.Cool
+	for k, d := range c.force {
+		left := d.at.Add(d.wait).Sub(now)
+		if left <= 0 {
+			delete(c.force, k)
+			continue
+		}
+		out = append(out, &wire.Cool{Key: k, Ver: d.ver, Op: d.op, LeftMs: cool.Ceil(left)})
+	}
+	return out
+}
+
+// cools answers an edge that wants to know them all.
+func (s *Store) cools(_ context.Context, q *wire.Req) (*wire.Resp, error) {
+	if err := core.Fresh(s.Node, q); err != nil {
+		return nil, err
+	}
+	return &wire.Resp{Op: &wire.Resp_Cools{Cools: &wire.CoolsAck{Cools: s.cool.left()}}}, nil
+}
--- /dev/null
+++ b/pass/store/cool_test.go
@@ -0,0 +1,101 @@
+package store
+
+import (
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"damsontiller/pass/cool"
+	"damsontiller/proto/reg"
+	"damsontiller/proto/wire"
+	"damsontiller/state/vault"
+)
+
+// TestCooldowns: a store counts a wait from when it took it. Promises, write-backs
+// under a higher ballot and other keys change nothing; a later value does; after a
+// crash no wait is shorter than it was, and none that was over for long is back.
+func TestCooldowns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := vfs.NewCrashableMem()
+		open := func() (*vault.Vault, *reg.Acceptor, *cooldowns) {
+			v, err := vault.Open(vault.Params{Dir: "/data", ID: "s1", Role: "store", FS: fs})
+			if err != nil {
+				t.Fatal(err)
+			}
+			c, err := newCooldowns(v)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return v, reg.NewAcceptor(c), c
+		}
+		v, a, c := open()
+		n := uint64(0)
+		acc := func(key string, ver, op uint64, ms int64) {
+			t.Helper()
+			n++
+			b, _ := json.Marshal(map[string]int64{"step": 1, "wait_ms": ms})
+			if _, err := a.Acc(&wire.Acc{Key: key, Ballot: &wire.Ballot{N: n, Node: 1}, Next: &wire.Ballot{N: n + 1, Node: 1}, Cell: &wire.Cell{Ver: ver, Val: b, Ops: []uint64{op}, Timed: true}}); err != nil {
+				t.Fatal(err)
+			}
+			n++
+		}
+		prep := func(key string) {
+			t.Helper()
+			n++
+			if _, err := a.Prep(&wire.Prep{Key: key, Ballot: &wire.Ballot{N: n, Node: 1}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// want checks what is in force, in milliseconds.
+		want := func(what string, want map[string]int64) {
+			t.Helper()
+			got := map[string]int64{}
+			for _, x := range c.left() {
+				got[x.Key] = x.LeftMs
+			}
+			if len(got) != len(want) {
+				t.Errorf("%s: %v, want %v", what, got, want)
+			}
+			for k, w := range want {
+				if d := got[k] - w; d < 0 || d > 1 {
+					t.Errorf("%s: %v, want %v", what, got, want)
+				}
+			}
+		}
+		k := cool.Prefix + "runner/a"
+		want("empty", nil)
+		acc(k, 1, 7, 10000)
+		acc("purse/x", 1, 8, 10000)
+		time.Sleep(4 * time.Second)
+		want("after 4 s", map[string]int64{k: 6000})
+		prep(k)
+		acc(k, 1, 7, 10000)
+		want("promised and written back", map[string]int64{k: 6000})
+		time.Sleep(7 * time.Second)
+		want("over", nil)
+		prep(k)
+		acc(k, 1, 7, 10000)
+		want("over, promised and written back", nil)
+		acc(k, 2, 9, 60000)
+		acc(cool.Prefix+"runner/b", 1, 1, 3000)
+		want("the next", map[string]int64{k: 60000, cool.Prefix + "runner/b": 3000})
+		time.Sleep(20 * time.Second)
+		if err := v.Tick(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		want("after 23 s", map[string]int64{k: 37000})
+		// The three seconds since the last tick are lost with the crash.
+		fs = fs.CrashClone(vfs.CrashCloneCfg{})
+		v.Close()
+		time.Sleep(time.Minute)
+		v, a, c = open()
+		want("after a crash and a minute", map[string]int64{k: 40000})
+		c.forget()
+		want("forgotten", nil)
+		v.Close()
+	})
+}
--- a/pass/store/repair.go
+++ b/pass/store/repair.go
@@ -41,7 +41,7 @@
 	return func(key string) bool {
 		me, other := false, false
 		for _, r := range v.Stores(key).All() {
-			me = me || r.Ident == s.Peer.Self.Ident
+			me = me || r.Ident == s.Peer.Ident()
 			other = other || r.Addr == addr
 		}
 		return me && other
@@ -99,7 +99,7 @@
 func (s *Store) repair(ctx context.Context) {
 	var others []spec.Machine
 	for _, m := range s.machines() {
-		if m.Ident != "" && m.Ident != s.Peer.Self.Ident {
+		if m.Ident != "" && m.Ident != s.Peer.Ident() {
 			others = append(others, m)
 		}
 	}
--- a/pass/store/store.go
+++ b/pass/store/store.go
@@ -24,25 +24,34 @@
 	*node.Node
 	v      *vault.Vault
 	acc    *reg.Acceptor
+	cool   *cooldowns
 	mended atomic.Int64 // keys taken from other stores
+	fills  fills
 }
 
 // New makes a store over its vault.
 func New(np node.Params, v *vault.Vault) (*Store, error) {
 	np.Keep = core.Keep(v.Note)
-	s := &Store{Node: node.New(np), v: v, acc: reg.NewAcceptor(v)}
+	c, err := newCooldowns(v)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{Node: node.New(np), v: v, acc: reg.NewAcceptor(c), cool: c, fills: fills{ready: make(chan struct{})}}
 	if err := core.Recall(v.Noted, s.Realm); err != nil {
 		return nil, err
 	}
-	core.Vote(s.Node, s.acc, func() []spec.Machine {
+	core.Vote(s.Node, s.acc, func(q *wire.Req) error { return core.Fresh(s.Node, q) }, func() []spec.Machine {
 		v := s.Realm.Now()
 		return slices.Concat(v.Realm.Stores, v.NextStores)
 	})
 	s.Lic.Status = v.Status
 	s.Peer.On(&wire.Req_Put{}, s.put)
 	s.Peer.On(&wire.Req_Get{}, s.get)
+	s.Peer.On(&wire.Req_Cools{}, s.cools)
 	s.Peer.On(&wire.Req_Sum{}, s.answerSums)
 	s.Peer.On(&wire.Req_List{}, s.answerList)
+	s.Peer.On(&wire.Req_Fill{}, s.fill)
+	s.Peer.On(&wire.Req_Bulk{}, s.bulk)
 	return s, nil
 }
 
@@ -56,6 +65,8 @@
 const MaxKey = 512
 
 func (s *Store) put(_ context.Context, q *wire.Req) (*wire.Resp, error) {
+	s.Gate.RLock()
+	defer s.Gate.RUnlock()
 	if err := core.Fresh(s.Node, q); err != nil {
 		return nil, err
 	}
@@ -91,6 +102,9 @@
 		return err
 	}
 	s.Run(ctx)
+	s.fills.ctx = ctx
+	close(s.fills.ready)
+	s.Go(ctx, func(ctx context.Context) { core.LetGo(ctx, s.Node, s.v, s.forget) })
 	s.Go(ctx, func(ctx context.Context) {
 		loop.Every(ctx, 5*time.Second, nil, func(context.Context) {
 			if err := s.v.Tick(); err != nil {
--- /dev/null
+++ b/pass/tally/tally.go
@@ -0,0 +1,240 @@
+// Package tally is how busy each runner is by the word of all edges, and which
+// runners there are, at a cost that grows with edges and not with edges times
+// runners: each edge tells one of them, the first live in order, what it has under
+// way, and hears what all others have; that one alone reads the list of runners.
+// Nothing that must hold rests on it, so it needs no epoch: two that count at once
+// only count less well, and an edge that reaches nobody reads the list itself.
+package tally
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"damsontiller/coord/duty"
+	"damsontiller/coord/node"
+	"damsontiller/pass/raw"
+	"damsontiller/pass/roll"
+	"damsontiller/proto/wire"
+	"damsontiller/xport/code"
+	"damsontiller/xport/loop"
+)
+
+// Params are the tally's times.
+type Params struct {
+	Ask   time.Duration // between two questions of an edge
+	Wait  time.Duration // for an answer, before the next in order is asked
+	Read  time.Duration // between two readings of the list by whoever counts
+	Stale time.Duration // a reading older than this is not waited with: the edge reads itself
+	Count time.Duration // an edge's word counts for so long
+}
+
+// DefaultParams are the design's.
+var DefaultParams = Params{Ask: 250 * time.Millisecond, Wait: 150 * time.Millisecond, Read: 900 * time.Millisecond, Stale: 1900 * time.Millisecond, Count: time.Second}
+
+// List reads the list of runners.
+type List func(ctx context.Context) ([]roll.Runner, error)
+
+// Tally counts, and asks whoever counts.
+type Tally struct {
+	p    Params
+	n    *node.Node
+	roll *roll.Roll
+	load *raw.Load
+	list List
+
+	mu    sync.Mutex
+	heard map[string]word // by edge
+	read  time.Time       // when the last own reading was asked for
+	body  []byte          // the roll as it is handed on
+	sum   uint64
+}
+
+type word struct {
+	at  time.Time
+	own []*wire.Busy
+}
+
+// New makes a tally; list may be set until Run.
+func New(p Params, n *node.Node, r *roll.Roll, l *raw.Load) *Tally {
+	t := &Tally{p: p, n: n, roll: r, load: l, heard: map[string]word{}}
+	n.Peer.On(&wire.Req_Tally{}, t.answer)
+	return t
+}
+
+// Run asks and, where this edge is the one that counts, reads, until ctx ends.
+func (t *Tally) Run(ctx context.Context, list List) {
+	t.mu.Lock()
+	t.list = list
+	t.mu.Unlock()
+	loop.Every(ctx, t.p.Ask, nil, t.step)
+}
+
+func (t *Tally) step(ctx context.Context) {
+	own := t.own()
+	for _, m := range duty.Order(t.n.Realm.Now(), t.n.Lic.Members()) {
+		if m.Id == t.n.Peer.Self.Id {
+			// This edge is the first that answers: it counts.
+			t.load.Hear(t.others(m.Id))
+			t.fresh(ctx, t.p.Read)
+			return
+		}
+		if t.ask(ctx, m.Addr, own) {
+			t.fresh(ctx, t.p.Stale)
+			return
+		}
+	}
+	t.fresh(ctx, t.p.Stale)
+}
+
+func (t *Tally) own() []*wire.Busy {
+	var out []*wire.Busy
+	for id, b := range t.load.Own() {
+		out = append(out, &wire.Busy{Runner: id, Jobs: int32(b.N), Tokens: b.Tokens})
+	}
+	return out
+}
+
+// ask tells the one that counts, and hears.
+func (t *Tally) ask(ctx context.Context, addr string, own []*wire.Busy) bool {
+	t.mu.Lock()
+	sum := t.sum
+	t.mu.Unlock()
+	asked := time.Now()
+	r, err := t.n.Peer.CallFor(ctx, t.p.Wait, addr, &wire.Req{Op: &wire.Req_Tally{Tally: &wire.Tally{Own: own, Roll: sum}}})
+	if err != nil {
+		return false
+	}
+	a := r.GetTally()
+	t.load.Hear(busy(a.GetOthers()))
+	if a.GetRollAgeMs() < 0 {
+		return true
+	}
+	// The age was counted before the answer came, so this reading is no younger
+	// than it is taken to be.
+	at := asked.Add(-time.Duration(a.RollAgeMs) * time.Millisecond)
+	switch {
+	case len(a.Runners) > 0:
+		t.take(at, a.Runners, a.Roll)
+	case a.Roll == sum:
+		t.roll.Touch(at)
+	}
+	return true
+}
+
+func (t *Tally) take(at time.Time, body []byte, sum uint64) {
+	var all []roll.Runner
+	if err := json.Unmarshal(body, &all); err != nil {
+		t.n.Log.Warn("roll not taken", "err", err)
+		return
+	}
+	t.set(at, all, body, sum)
+}
+
+func (t *Tally) set(at time.Time, all []roll.Runner, body []byte, sum uint64) {
+	if t.roll.Take(roll.NewList(at, all)) {
+		t.mu.Lock()
+		t.body, t.sum = body, sum
+		t.mu.Unlock()
+	}
+}
+
+// fresh reads the list where the last reading is older than d.
+func (t *Tally) fresh(ctx context.Context, d time.Duration) {
+	t.mu.Lock()
+	list, last := t.list, t.read
+	if list == nil || time.Since(t.roll.Now().At) < d || time.Since(last) < t.p.Read/3 {
+		t.mu.Unlock()
+		return
+	}
+	t.read = time.Now()
+	t.mu.Unlock()
+	at := time.Now()
+	all, err := list(ctx)
+	if err != nil {
+		t.n.Log.Warn("list of runners not read", "err", err)
+		return
+	}
+	l := roll.NewList(at, all)
+	body, err := json.Marshal(settled(l.All))
+	if err != nil {
+		t.n.Log.Warn("list of runners not handed on", "err", err)
+		return
+	}
+	h := fnv.New64a()
+	h.Write(body)
+	t.set(at, l.All, body, h.Sum64())
+}
+
+// settled is the roll with fresh times rounded up, so that a runner that warms up
+// does not make a new roll of each reading.
+func settled(all []roll.Runner) []roll.Runner {
+	out := make([]roll.Runner, len(all))
+	copy(out, all)
+	for i := range out {
+		if out[i].ColdMs > 0 {
+			out[i].ColdMs = (out[i].ColdMs + 999) / 1000 * 1000
+		}
+	}
+	return out
+}
+
+// others sums up what all but one have under way, as last heard.
+func (t *Tally) others(but string) map[string]raw.Busy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]raw.Busy{}
+	for id, w := range t.heard {
+		if time.Since(w.at) > t.p.Count {
+			delete(t.heard, id)
+			continue
+		}
+		if id == but {
+			continue
+		}
+		for _, b := range w.own {
+			o := out[b.Runner]
+			out[b.Runner] = raw.Busy{N: o.N + int(b.Jobs), Tokens: o.Tokens + b.Tokens}
+		}
+	}
+	return out
+}
+
+func busy(bs []*wire.Busy) map[string]raw.Busy {
+	out := make(map[string]raw.Busy, len(bs))
+	for _, b := range bs {
+		out[b.Runner] = raw.Busy{N: int(b.Jobs), Tokens: b.Tokens}
+	}
+	return out
+}
+
+// answer is the side that counts.
+func (t *Tally) answer(_ context.Context, q *wire.Req) (*wire.Resp, error) {
+	if q.Id == "" {
+		return nil, code.New(code.Garbled, "a tally of nobody")
+	}
+	t.mu.Lock()
+	t.heard[q.Id] = word{time.Now(), q.GetTally().GetOwn()}
+	t.mu.Unlock()
+	a := &wire.TallyAck{RollAgeMs: -1}
+	o := t.others(q.Id)
+	// Its own is not kept: it is known at the moment.
+	for id, b := range t.load.Own() {
+		x := o[id]
+		o[id] = raw.Busy{N: x.N + b.N, Tokens: x.Tokens + b.Tokens}
+	}
+	for id, b := range o {
+		a.Others = append(a.Others, &wire.Busy{Runner: id, Jobs: int32(b.N), Tokens: b.Tokens})
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.roll.Now(); len(t.body) > 0 {
+		a.Roll, a.RollAgeMs = t.sum, time.Since(l.At).Milliseconds()
+		if a.Roll != q.GetTally().GetRoll() {
+			a.Runners = t.body
+		}
+	}
+	return &wire.Resp{Op: &wire.Resp_Tally{Tally: a}}, nil
+}
--- a/proto/reg/acceptor.go
+++ b/proto/reg/acceptor.go
@@ -4,7 +4,6 @@
 package reg
 
 import (
-	"hash/fnv"
 	"sync"
 	"time"
 
@@ -18,11 +17,14 @@
 	Save(key string, r *wire.Rec) error
 }
 
+// stripes is the number of locks that an acceptor's keys share.
+const stripes = 64
+
 // Acceptor votes on registers. It answers only after its disk is synced.
 type Acceptor struct {
 	disk  Disk
 	start time.Time
-	locks [64]chan struct{} // full while somebody is at its keys
+	locks [stripes]chan struct{} // full while somebody is at its keys
 	mu    sync.Mutex
 	since map[string]mark
 }
@@ -43,9 +45,7 @@
 }
 
 func (a *Acceptor) lock(key string) func() {
-	h := fnv.New32a()
-	h.Write([]byte(key))
-	l := a.locks[h.Sum32()%uint32(len(a.locks))]
+	l := a.locks[stripe(key)]
 	l <- struct{}{}
 	return func() { <-l }
 }
@@ -67,7 +67,10 @@
 	return a.view(q.Key, r), nil
 }
 
-// Acc takes the cell unless a higher ballot was promised.
+// Acc takes the cell unless a higher ballot was promised. With it, and in one sync,
+// it promises the ballot that its proposer wants to go on with, so that its next
+// change needs no round to prepare. One that does not know of this promises what it
+// has taken and no more, and its answer says so.
 func (a *Acceptor) Acc(q *wire.Acc) (*wire.View, error) {
 	defer a.lock(q.Key)()
 	r, err := a.disk.Load(q.Key)
@@ -78,6 +81,9 @@
 		return a.view(q.Key, r), code.New(code.OldBallot, "promised %d", r.Promised.GetN())
 	}
 	r.Promised, r.Accepted, r.Cell = q.Ballot, q.Ballot, q.Cell
+	if wire.Cmp(q.Next, q.Ballot) > 0 {
+		r.Promised = q.Next
+	}
 	if err := a.disk.Save(q.Key, r); err != nil {
 		return nil, err
 	}
@@ -125,6 +131,11 @@
 	case whole:
 		return true, drop(key)
 	case past && !r.Cell.GetPast():
+		// What was promised before the value went is taken back by a higher promise:
+		// nothing worked out from the value may be taken here any more.
+		if r.Promised != nil {
+			r.Promised = &wire.Ballot{N: r.Promised.N + 1}
+		}
 		r.Cell = &wire.Cell{Ver: r.Cell.GetVer(), Ops: r.Cell.GetOps(), Past: true}
 		a.mu.Lock()
 		delete(a.since, key)
--- /dev/null
+++ b/proto/reg/fill.go
@@ -0,0 +1,68 @@
+package reg
+
+import (
+	"hash/fnv"
+
+	"damsontiller/proto/wire"
+)
+
+// Fill takes what another acceptor of the keys has taken, many at once and with one
+// sync. It is for an acceptor of a set that is being changed to, whose voices do not
+// count alone yet: so it takes a value also below what it has promised, as it could
+// not be with Adopt. Whoever it promised asks the old set too, and sees it there. It
+// tells how many were newer than what was here.
+func (a *Acceptor) Fill(all []*wire.Copy, save func(map[string]*wire.Rec) error) (int, error) {
+	// The locks are taken in their order, so two at it never wait for each other.
+	var need [len(a.locks)]bool
+	for _, c := range all {
+		need[stripe(c.Key)] = true
+	}
+	for i, n := range need {
+		if n {
+			a.locks[i] <- struct{}{}
+			defer func() { <-a.locks[i] }()
+		}
+	}
+	recs := map[string]*wire.Rec{}
+	for _, c := range all {
+		r, err := a.disk.Load(c.Key)
+		if err != nil {
+			return 0, err
+		}
+		// Of one value the copy that was let go is the one that counts.
+		n := wire.Cmp(c.Rec.GetAccepted(), r.Accepted)
+		if n < 0 || n == 0 && (!c.Rec.GetCell().GetPast() || r.Cell.GetPast()) {
+			continue
+		}
+		r.Accepted, r.Cell = c.Rec.Accepted, c.Rec.Cell
+		if wire.Cmp(r.Promised, r.Accepted) < 0 {
+			r.Promised = r.Accepted
+		}
+		recs[c.Key] = r
+	}
+	if len(recs) == 0 {
+		return 0, nil
+	}
+	if err := save(recs); err != nil {
+		return 0, err
+	}
+	for k, r := range recs {
+		if r.Cell.GetTimed() {
+			a.note(k, lastOp(r.Cell))
+		}
+	}
+	return len(recs), nil
+}
+
+// Forgotten tells the acceptor that its disk has been changed for an empty one.
+func (a *Acceptor) Forgotten() {
+	a.mu.Lock()
+	clear(a.since)
+	a.mu.Unlock()
+}
+
+func stripe(key string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(key))
+	return h.Sum32() % stripes
+}
