--- a/proto/reg/proposer.go
+++ b/proto/reg/proposer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"damsontiller/proto/wire"
+	"damsontiller/xport"
 	"damsontiller/xport/code"
 	"damsontiller/xport/loop"
 )
@@ -53,6 +54,22 @@
 	return len(s) > 0
 }
 
+// lost tells whether so many have failed that no quorum can be had.
+func (s Set) lost(got []reply) bool {
+	for _, g := range s {
+		n := 0
+		for _, a := range got {
+			if a.err != nil && slices.Contains(g, a.r) {
+				n++
+			}
+		}
+		if n*2 >= len(g) {
+			return true
+		}
+	}
+	return false
+}
+
 // ErrNoQuorum: too few answered, and nothing was changed.
 var ErrNoQuorum = errors.New("no majority answered")
 
@@ -64,7 +81,7 @@
 // a cell that many versions on can't tell, and says so.
 const keepOps = 32
 
-// State is a register as read.
+// State is a register as read. Its value is not to be altered: it may be shared.
 type State struct {
 	Ver uint64
 	Val []byte
@@ -74,16 +91,21 @@
 	Past bool
 }
 
-// Proposer runs the two rounds. Each start of a process has its own node
-// number, so no two ever share a ballot.
+// Proposer runs the two rounds, or the second alone where it made the key's last
+// change. Each start of a process has its own node number, so no two ever share a
+// ballot.
 type Proposer struct {
 	node uint64
 	call wire.Caller
 	top  atomic.Uint64
 	// Rounds counts rounds sent, for the cost of a job.
 	Rounds atomic.Uint64
+	// Short counts changes that took one round, Missed those that tried to.
+	Short, Missed atomic.Uint64
 	// Retry is how long one round waits for a majority.
-	Retry time.Duration
+	Retry  time.Duration
+	aheads aheads
+	turns  turns
 }
 
 // NewProposer makes a proposer; node must be unique to this start.
@@ -91,8 +113,17 @@
 	return &Proposer{node: node, call: call, Retry: 500 * time.Millisecond}
 }
 
+// ballot is one that this proposer has never used. Its number follows the clock,
+// so that who comes later goes over the one before at the first try, also after a
+// restart; a clock that is wrong costs tries and nothing else.
 func (p *Proposer) ballot() *wire.Ballot {
-	return &wire.Ballot{N: p.top.Add(1), Node: p.node}
+	now := uint64(max(time.Now().UnixMilli(), 0))
+	for {
+		t := p.top.Load()
+		if n := max(t+1, now); p.top.CompareAndSwap(t, n) {
+			return &wire.Ballot{N: n, Node: p.node}
+		}
+	}
 }
 
 // saw lifts the next ballot above one that beat ours.
@@ -126,41 +157,80 @@
 	}
 }
 
+// after ends what several calls share, with the last of them.
+type after struct {
+	left atomic.Int32
+	stop context.CancelFunc
+}
+
+func (a *after) done() {
+	if a.left.Add(-1) == 0 {
+		a.stop()
+	}
+}
+
 type reply struct {
 	r    Replica
 	resp *wire.Resp
 	err  error
 }
 
-// round asks every voter and returns as soon as done says so or all answered.
+// spare is the least time that a lost round waits for what the rest have to say.
+const spare = 20 * time.Millisecond
+
+// round asks every voter and returns as soon as done says so or all answered. Once
+// no quorum can be had any more it waits for the rest only for as long again: what
+// every voter has refused was surely taken by none, and one of them may know why.
 func (p *Proposer) round(ctx context.Context, set Set, mk func() *wire.Req, done func(got []reply) bool) []reply {
-	p.Rounds.Add(1)
-	ctx, stop := context.WithTimeout(ctx, p.Retry)
-	defer stop()
 	all := set.All()
+	if len(all) == 0 {
+		return nil
+	}
+	p.Rounds.Add(1)
 	ch := make(chan reply, len(all))
+	// The calls outlive an early return: a laggard should still hear of it.
+	cctx, stop := context.WithTimeout(context.WithoutCancel(ctx), p.Retry)
+	last := &after{stop: stop}
+	last.left.Store(int32(len(all)))
 	for _, r := range all {
 		q := mk()
 		q.Ident = r.Ident
 		PutStamp(ctx, q)
-		// The call outlives an early return: a laggard should still hear of it.
-		cctx, cstop := context.WithTimeout(context.WithoutCancel(ctx), p.Retry)
 		go func() {
-			defer cstop()
 			resp, err := p.call(cctx, r.Addr, q)
 			ch <- reply{r, resp, err}
+			last.done()
 		}()
 	}
-	var got []reply
+	got := make([]reply, 0, len(all))
+	at := time.Now()
+	var enough <-chan time.Time
 	for range all {
 		select {
 		case g := <-ch:
-			got = append(got, g)
-			if done(got) {
+			if got = append(got, g); done(got) {
 				return got
 			}
+			if enough != nil || !set.lost(got) {
+				continue
+			}
+			t := time.NewTimer(max(time.Since(at), spare))
+			defer t.Stop()
+			enough = t.C
+		case <-enough:
+			return got
 		case <-ctx.Done():
 			return got
+		case <-cctx.Done():
+			// All may have answered at this very moment.
+			for {
+				select {
+				case g := <-ch:
+					got = append(got, g)
+				default:
+					return got
+				}
+			}
 		}
 	}
 	return got
@@ -244,9 +314,12 @@
 	return b, got, nil
 }
 
-// accept is the second round; it waits until enough says so, or all answered.
-func (p *Proposer) accept(ctx context.Context, set Set, key string, b *wire.Ballot, c *wire.Cell, enough func([]reply) bool) []reply {
-	got := p.round(ctx, set, func() *wire.Req { return &wire.Req{Op: &wire.Req_Acc{Acc: &wire.Acc{Key: key, Ballot: b, Cell: c}}} }, enough)
+// accept is the second round; it waits until enough says so, or all answered. A
+// next ballot is to be promised along with it.
+func (p *Proposer) accept(ctx context.Context, set Set, key string, b, next *wire.Ballot, c *wire.Cell, enough func([]reply) bool) []reply {
+	got := p.round(ctx, set, func() *wire.Req {
+		return &wire.Req{Op: &wire.Req_Acc{Acc: &wire.Acc{Key: key, Ballot: b, Cell: c, Next: next}}}
+	}, enough)
 	p.learn(got)
 	return got
 }
@@ -279,7 +352,7 @@
 			}
 			return set.Quorum(have)
 		}
-		if all(p.accept(ctx, set, key, b, cur.GetCell(), all)) {
+		if all(p.accept(ctx, set, key, b, nil, cur.GetCell(), all)) {
 			return nil
 		}
 	}
@@ -295,7 +368,9 @@
 // side may come from a call of f whose value was not the one chosen, so a
 // caller reads what was decided from the state.
 func (p *Proposer) Change(ctx context.Context, set Set, key string, f Func) (State, error) {
-	op := rand.Uint64() | 1
+	defer p.turns.enter(ctx, key, p.Retry)()
+	// Short enough for seven bytes: a cell carries many.
+	op := rand.Uint64()>>15 | 1
 	var base uint64 // version our change was first made from
 	sent := false
 	fail := func(err error) (State, error) {
@@ -304,10 +379,34 @@
 		}
 		return State{}, fmt.Errorf("change %s: %w", key, err)
 	}
+	// A strict change always prepares: a voter of a newer spec refuses to prepare
+	// it, but takes what was begun.
+	a := p.aheads.take(key, set)
+	if s, _ := ctx.Value(stampKey{}).(stamp); f == nil || s.strict {
+		a = nil
+	}
 	for try := 0; ; try++ {
 		if try > 0 && !loop.Wait(ctx, pause(try)) || ctx.Err() != nil {
 			return fail(fmt.Errorf("%w: %w", ErrNoQuorum, ctx.Err()))
 		}
+		if a != nil {
+			// What is worked out from a state that may be old counts only once it is
+			// chosen: a refusal by f is asked for again from what a majority says.
+			if c, err := a.next(f, op); err == nil {
+				base = a.cell.GetVer()
+				done, none := p.settle(ctx, set, key, a.b, c, true)
+				if done {
+					p.Short.Add(1)
+					return State{Ver: c.Ver, Val: c.Val}, nil
+				}
+				sent = !none
+			}
+			p.Missed.Add(1)
+			a = nil
+			if ctx.Err() != nil {
+				return fail(fmt.Errorf("%w: %w", ErrNoQuorum, ctx.Err()))
+			}
+		}
 		b, got, err := p.prepare(ctx, set, key)
 		if code.Of(err) == code.StaleSpec {
 			// The same voters would refuse again.
@@ -319,7 +418,7 @@
 		cur, holders := highest(got)
 		st, cell := stateOf(cur), cur.GetCell()
 		var verdict error
-		ours := slices.Contains(cell.GetOps(), op)
+		ours, made := slices.Contains(cell.GetOps(), op), false
 		switch {
 		case ours || f == nil:
 			// Ours already, or nothing to change: only make it safe.
@@ -331,12 +430,7 @@
 				verdict = err
 				break
 			}
-			ops := append(slices.Clone(cell.GetOps()), op)
-			cell = &wire.Cell{Ver: st.Ver + 1, Val: val, Ops: ops[max(0, len(ops)-keepOps):], Timed: timed}
-			holders = nil
-			if !sent {
-				sent, base = true, st.Ver
-			}
+			made, holders, cell = true, nil, add(cell, op, val, timed)
 		}
 		// What a straggler still holds of our earlier try could be picked up
 		// by a rival; before we say no, a higher ballot must bury it.
@@ -349,17 +443,74 @@
 		if cell == nil || set.Quorum(holders) {
 			return st, verdict
 		}
-		most := func(got []reply) bool { return set.Quorum(good(got)) }
-		if !most(p.accept(ctx, set, key, b, cell, most)) {
+		done, none := p.settle(ctx, set, key, b, cell, made)
+		if !done {
+			if made && !sent && !none {
+				sent, base = true, st.Ver
+			}
 			continue
 		}
-		if verdict == nil && !ours && f != nil {
+		if made {
 			st = State{Ver: cell.Ver, Val: cell.Val}
 		}
 		return st, verdict
 	}
 }
 
+// add is the cell after one more change.
+func add(c *wire.Cell, op uint64, val []byte, timed bool) *wire.Cell {
+	old := c.GetOps()
+	old = old[max(0, len(old)+1-keepOps):]
+	ops := append(append(make([]uint64, 0, len(old)+1), old...), op)
+	return &wire.Cell{Ver: c.GetVer() + 1, Val: val, Ops: ops, Timed: timed}
+}
+
+// settle has a cell accepted and, where it is a change of ours, a next ballot
+// promised along with it. It tells whether the cell is chosen and, if not, whether
+// surely no voter has taken it.
+func (p *Proposer) settle(ctx context.Context, set Set, key string, b *wire.Ballot, c *wire.Cell, made bool) (done, none bool) {
+	var next *wire.Ballot
+	if made {
+		next = p.ballot()
+	}
+	got := p.accept(ctx, set, key, b, next, c, func(got []reply) bool { return set.Quorum(good(got)) })
+	if !set.Quorum(good(got)) {
+		return false, refused(set, got)
+	}
+	if !made {
+		return true, false
+	}
+	// The next change may go without preparing only if a quorum has said, in the
+	// very answers that chose this cell, that it promised the next ballot: then
+	// these answers are what preparing it would have brought. Voters of a version
+	// that knows no such promise answer with the ballot they have taken.
+	sure := map[Replica]bool{}
+	for _, g := range got {
+		if v := g.resp.GetView(); g.err == nil && wire.Cmp(v.GetPromised(), next) == 0 && wire.Cmp(v.GetAccepted(), b) == 0 {
+			sure[g.r] = true
+		}
+	}
+	if set.Quorum(sure) {
+		p.aheads.put(&ahead{key: key, set: set, b: next, cell: c, at: time.Now()})
+	}
+	return true, false
+}
+
+// refused tells whether every voter has said that it took nothing. A loss, or a
+// disk that failed, leaves it open.
+func refused(set Set, got []reply) bool {
+	for _, g := range got {
+		switch code.Of(g.err) {
+		case code.OldBallot, code.StaleSpec, code.WrongIdentity, code.NotVoting:
+		default:
+			if !errors.Is(g.err, xport.ErrRefused) {
+				return false
+			}
+		}
+	}
+	return len(got) == len(set.All())
+}
+
 func (p *Proposer) learn(got []reply) {
 	for _, g := range got {
 		if g.resp != nil {
--- a/proto/reg/reg_test.go
+++ b/proto/reg/reg_test.go
@@ -52,11 +52,16 @@
 	lose int                      // of 100 calls, and of 100 answers
 	ice  map[string]chan struct{} // frozen acceptors; closed when one wakes
 	lost int
-	late int // calls that a freeze held back
+	late int             // calls that a freeze held back
+	old  map[string]bool // acceptors of a version that knows no next ballot
+	// sent is the cell that was proposed under each ballot of a key; twice counts
+	// those under which there was another.
+	sent  map[string]*wire.Cell
+	twice int
 }
 
 func newWorld(seed uint64, n, lose int) (*world, reg.Set) {
-	w := &world{rnd: rand.New(rand.NewPCG(seed, 3)), acc: map[string]*reg.Acceptor{}, dsk: map[string]*disk{}, lose: lose, ice: map[string]chan struct{}{}}
+	w := &world{rnd: rand.New(rand.NewPCG(seed, 3)), acc: map[string]*reg.Acceptor{}, dsk: map[string]*disk{}, lose: lose, ice: map[string]chan struct{}{}, old: map[string]bool{}, sent: map[string]*wire.Cell{}}
 	var g []reg.Replica
 	for i := range n {
 		a := fmt.Sprintf("a%d", i)
@@ -91,6 +96,16 @@
 			return ctx.Err()
 		}
 	}
+	if q := q.GetAcc(); q != nil {
+		id := fmt.Sprintf("%s %d %d", q.Key, q.Ballot.N, q.Ballot.Node)
+		w.mu.Lock()
+		if c := w.sent[id]; c == nil {
+			w.sent[id] = proto.Clone(q.Cell).(*wire.Cell)
+		} else if !proto.Equal(c, q.Cell) {
+			w.twice++
+		}
+		w.mu.Unlock()
+	}
 	if err := leg(); err != nil {
 		return nil, err
 	}
@@ -115,6 +130,8 @@
 	switch {
 	case q.GetPrep() != nil:
 		v, err = a.Prep(q.GetPrep())
+	case q.GetAcc() != nil && w.old[addr]:
+		v, err = a.Acc(&wire.Acc{Key: q.GetAcc().Key, Ballot: q.GetAcc().Ballot, Cell: q.GetAcc().Cell})
 	case q.GetAcc() != nil:
 		v, err = a.Acc(q.GetAcc())
 	default:
@@ -157,123 +174,180 @@
 }
 
 // model: a register that words are appended to; an add is refused once the
-// value has eight words, so that refusals are checked as well.
-var model = porcupine.Model{
-	Init: func() any { return "" },
-	Step: func(state, in, out any) (bool, any) {
-		s, i, o := state.(string), in.(input), out.(string)
-		if i.read {
-			return o == s, s
-		}
-		if o == "full" {
-			return len(s) >= 16, s
-		}
-		return o == s+i.add && len(s) < 16, s + i.add
-	},
+// value has so many letters, so that refusals are checked as well.
+func model(full int) porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return "" },
+		Step: func(state, in, out any) (bool, any) {
+			s, i, o := state.(string), in.(input), out.(string)
+			if i.read {
+				return o == s, s
+			}
+			if o == "full" {
+				return len(s) >= full, s
+			}
+			return o == s+i.add && len(s) < full, s + i.add
+		},
+	}
 }
 
 var errFull = errors.New("full")
 
-// TestLinearizable runs rivals over a lossy network with acceptors that crash
-// and freeze,
-// and checks the history, for many seeds. A change in doubt may take effect at
-// any time after it began, or never.
-func TestLinearizable(t *testing.T) {
-	lost, late := 0, 0
-	for seed := range uint64(60) {
-		synctest.Test(t, func(t *testing.T) {
-			w, set := newWorld(seed, 3, 15)
-			var mu sync.Mutex
-			var ops []porcupine.Operation
-			start := time.Now()
-			now := func() int64 { return int64(time.Since(start)) }
-			var wg sync.WaitGroup
-			for p := range 4 {
-				wg.Go(func() {
-					pr := reg.NewProposer(uint64(p+1), w.call)
-					pr.Retry = 100 * time.Millisecond
-					for i := range 8 {
-						ctx, stop := context.WithTimeout(t.Context(), 400*time.Millisecond)
-						in := input{read: i%3 == 2, add: string(rune('a'+p)) + strconv.Itoa(i)}
-						at := now()
-						var out string
-						var err error
-						if in.read {
-							var st reg.State
-							st, err = pr.Read(ctx, set, "k")
-							out = string(st.Val)
-						} else {
-							var st reg.State
-							st, err = pr.Change(ctx, set, "k", func(s reg.State) ([]byte, bool, error) {
-								if len(s.Val) >= 16 {
-									return nil, false, errFull
-								}
-								return append(append([]byte(nil), s.Val...), in.add...), false, nil
-							})
-							// The state handed back may already hold later changes.
-							if out = string(st.Val); err == nil {
-								out = out[:strings.Index(out, in.add)+2]
-							}
-							if errors.Is(err, errFull) {
-								out, err = "full", nil
+// trial is how a history of rivals comes about.
+type trial struct {
+	rivals, ops int
+	lose        int
+	full        int           // letters at which adds are refused
+	rest        time.Duration // longest rest of a rival after every third operation
+	old         []string      // acceptors of a version that knows no next ballot
+}
+
+// tally is what went on in it.
+type tally struct {
+	lost, late    int
+	short, missed uint64
+}
+
+// play runs rivals over a lossy network with acceptors that crash and freeze, and
+// checks the history. A change in doubt may take effect at any time after it began,
+// or never.
+func play(t *testing.T, seed uint64, tr trial) (sum tally) {
+	synctest.Test(t, func(t *testing.T) {
+		w, set := newWorld(seed, 3, tr.lose)
+		for _, a := range tr.old {
+			w.old[a] = true
+		}
+		var mu sync.Mutex
+		var ops []porcupine.Operation
+		start := time.Now()
+		now := func() int64 { return int64(time.Since(start)) }
+		var wg sync.WaitGroup
+		for p := range tr.rivals {
+			wg.Go(func() {
+				pr := reg.NewProposer(uint64(p+1), w.call)
+				pr.Retry = 100 * time.Millisecond
+				rnd := rand.New(rand.NewPCG(seed, uint64(p)))
+				for i := range tr.ops {
+					if i%3 == 0 && tr.rest > 0 {
+						time.Sleep(time.Duration(rnd.Int64N(int64(tr.rest))))
+					}
+					ctx, stop := context.WithTimeout(t.Context(), 400*time.Millisecond)
+					in := input{read: i%3 == 2, add: string(rune('a'+p)) + strconv.Itoa(i)}
+					at := now()
+					var out string
+					var err error
+					if in.read {
+						var st reg.State
+						st, err = pr.Read(ctx, set, "k")
+						out = string(st.Val)
+					} else {
+						var st reg.State
+						st, err = pr.Change(ctx, set, "k", func(s reg.State) ([]byte, bool, error) {
+							if len(s.Val) >= tr.full {
+								return nil, false, errFull
 							}
+							return append(append([]byte(nil), s.Val...), in.add...), false, nil
+						})
+						// The state handed back may already hold later changes.
+						if out = string(st.Val); err == nil {
+							out = out[:strings.Index(out, in.add)+2]
 						}
-						stop()
-						op := porcupine.Operation{ClientId: p, Input: in, Call: at, Output: out, Return: now()}
-						switch {
-						case errors.Is(err, reg.ErrMaybe):
-							// Open to the end of time, with whatever outcome.
-							op.Return, op.Output, op.ClientId = 1<<62, "maybe:"+in.add, 100+p*10+i
-						case err != nil:
-							continue
+						if errors.Is(err, errFull) {
+							out, err = "full", nil
 						}
-						mu.Lock()
-						ops = append(ops, op)
-						mu.Unlock()
 					}
-				})
-			}
-			wg.Go(func() {
-				for i := range 6 {
-					time.Sleep(150 * time.Millisecond)
-					w.crash(fmt.Sprintf("a%d", i%3))
-				}
-			})
-			wg.Go(func() {
-				for i := range 4 {
-					time.Sleep(100 * time.Millisecond)
-					w.freeze(fmt.Sprintf("a%d", (i+1)%3), 200*time.Millisecond)
+					stop()
+					op := porcupine.Operation{ClientId: p, Input: in, Call: at, Output: out, Return: now()}
+					switch {
+					case errors.Is(err, reg.ErrMaybe):
+						// Open to the end of time, with whatever outcome.
+						op.Return, op.Output, op.ClientId = 1<<62, "maybe:"+in.add, 100+p*10+i
+					case err != nil:
+						continue
+					}
+					mu.Lock()
+					ops = append(ops, op)
+					mu.Unlock()
 				}
+				mu.Lock()
+				sum.short, sum.missed = sum.short+pr.Short.Load(), sum.missed+pr.Missed.Load()
+				mu.Unlock()
 			})
-			wg.Wait()
-			// A last read over a whole network shows which doubtful changes took
-			// effect.
-			w.mu.Lock()
-			w.lose = 0
-			w.mu.Unlock()
-			at := now()
-			st, err := reg.NewProposer(99, w.call).Read(t.Context(), set, "k")
-			if err != nil {
-				t.Fatal(err)
+		}
+		wg.Go(func() {
+			for i := range 6 {
+				time.Sleep(150 * time.Millisecond)
+				w.crash(fmt.Sprintf("a%d", i%3))
 			}
-			ops = append(ops, porcupine.Operation{ClientId: 99, Input: input{read: true}, Call: at, Output: string(st.Val), Return: now()})
-			if !explained(ops) {
-				t.Errorf("seed %d: history is not linearizable: %+v", seed, ops)
+		})
+		wg.Go(func() {
+			for i := range 4 {
+				time.Sleep(100 * time.Millisecond)
+				w.freeze(fmt.Sprintf("a%d", (i+1)%3), 200*time.Millisecond)
 			}
-			time.Sleep(time.Second)
-			w.mu.Lock()
-			lost, late = lost+w.lost, late+w.late
-			w.mu.Unlock()
 		})
-	}
-	if lost == 0 || late == 0 {
-		t.Errorf("%d calls lost, %d held back: a fault did not fire", lost, late)
+		wg.Wait()
+		// A last read over a whole network shows which doubtful changes took
+		// effect.
+		w.mu.Lock()
+		w.lose = 0
+		w.mu.Unlock()
+		at := now()
+		st, err := reg.NewProposer(99, w.call).Read(t.Context(), set, "k")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ops = append(ops, porcupine.Operation{ClientId: 99, Input: input{read: true}, Call: at, Output: string(st.Val), Return: now()})
+		if !explained(ops, tr.full) {
+			t.Errorf("seed %d: history is not linearizable: %+v", seed, ops)
+		}
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		sum.lost, sum.late = w.lost, w.late
+		if w.twice > 0 {
+			t.Errorf("seed %d: %d times another cell under the same ballot", seed, w.twice)
+		}
+		w.mu.Unlock()
+	})
+	return sum
+}
+
+// TestLinearizable plays histories of many seeds: many rivals, few rivals who are
+// often alone with the key and so go without preparing, and voters of which some
+// are of a version that promises no ballot along with a cell.
+func TestLinearizable(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		seeds uint64
+		trial
+		short int // changes without preparing that there must be at least; -1: none may be
+	}{
+		{"rivals", 60, trial{rivals: 4, ops: 8, lose: 15, full: 16}, 1},
+		{"alone", 200, trial{rivals: 3, ops: 9, lose: 5, full: 40, rest: 300 * time.Millisecond}, 300},
+		{"lossy", 100, trial{rivals: 2, ops: 9, lose: 25, full: 40, rest: 100 * time.Millisecond}, 50},
+		{"one old", 60, trial{rivals: 3, ops: 9, lose: 5, full: 40, rest: 300 * time.Millisecond, old: []string{"a1"}}, 30},
+		{"two old", 30, trial{rivals: 3, ops: 9, lose: 5, full: 40, rest: 300 * time.Millisecond, old: []string{"a1", "a2"}}, -1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var sum tally
+			for seed := range tc.seeds {
+				n := play(t, seed, tc.trial)
+				sum.lost, sum.late, sum.short, sum.missed = sum.lost+n.lost, sum.late+n.late, sum.short+n.short, sum.missed+n.missed
+			}
+			if sum.lost == 0 || sum.late == 0 {
+				t.Errorf("%d calls lost, %d held back: a fault did not fire", sum.lost, sum.late)
+			}
+			if int(sum.short) < tc.short || tc.short < 0 && sum.short+sum.missed > 0 {
+				t.Errorf("%d changes in one round, %d missed, want at least %d", sum.short, sum.missed, tc.short)
+			}
+			t.Logf("%+v", sum)
+		})
 	}
 }
 
 // explained checks the history with each doubtful change taken or left out as
 // the values read show: a word seen in any value did take effect.
-func explained(ops []porcupine.Operation) bool {
+func explained(ops []porcupine.Operation, full int) bool {
 	seen := ""
 	for _, o := range ops {
 		if s := o.Output.(string); len(s) > len(seen) && s != "full" && !strings.HasPrefix(s, "maybe:") {
@@ -291,7 +365,7 @@
 		}
 		h = append(h, o)
 	}
-	return porcupine.CheckOperations(model, h)
+	return porcupine.CheckOperations(model(full), h)
 }
 
 // TestCheckerSees feeds the checker a lost update and a stale read.
@@ -299,10 +373,10 @@
 	op := func(c int, at, end int64, read bool, add, out string) porcupine.Operation {
 		return porcupine.Operation{ClientId: c, Input: input{read, add}, Call: at, Return: end, Output: out}
 	}
-	if explained([]porcupine.Operation{op(1, 0, 1, false, "a0", "a0"), op(2, 2, 3, false, "b0", "b0")}) {
+	if explained([]porcupine.Operation{op(1, 0, 1, false, "a0", "a0"), op(2, 2, 3, false, "b0", "b0")}, 16) {
 		t.Error("a lost update passed")
 	}
-	if explained([]porcupine.Operation{op(1, 0, 1, false, "a0", "a0"), op(2, 2, 3, true, "", "")}) {
+	if explained([]porcupine.Operation{op(1, 0, 1, false, "a0", "a0"), op(2, 2, 3, true, "", "")}, 16) {
 		t.Error("a stale read passed")
 	}
 }
--- a/proto/spec/check.go
+++ b/proto/spec/check.go
@@ -48,6 +48,14 @@
 	return nil
 }
 
+// Bare is the spec of a fleet that has no jobs of its own yet, only raw ones.
+func Bare(zones []string) Spec { return Spec{Name: "fleet", Zones: zones} }
+
+// bare: it routes nothing, so nothing can be missing for it.
+func (s *Spec) bare() bool {
+	return len(s.Runners)+len(s.Routes)+len(s.Classes)+len(s.Keeping)+len(s.Budgets) == 0 && s.Platform == ""
+}
+
 // Check finds the first thing wrong and names its field.
 func (s *Spec) Check() error {
 	if !Name(s.Name) {
@@ -60,6 +68,9 @@
 	if err != nil {
 		return err
 	}
+	if s.bare() {
+		return s.checkShared(zones)
+	}
 	routes, err := names("routes", s.Routes, func(r Route) string { return r.Name })
 	if err != nil {
 		return err
@@ -100,6 +111,11 @@
 	if err := s.checkRunners(zones, routes); err != nil {
 		return err
 	}
+	return s.checkShared(zones)
+}
+
+// checkShared checks what every spec has.
+func (s *Spec) checkShared(zones map[string]bool) error {
 	if err := s.checkZones(zones); err != nil {
 		return err
 	}
--- a/proto/spec/table.go
+++ b/proto/spec/table.go
@@ -148,7 +148,9 @@
 			if s.Weight < 0 {
 				return bad(f+".to", "weight %d is negative", s.Weight)
 			}
-			sum += s.Weight
+			if sum += s.Weight; sum < 0 {
+				return bad(f+".to", "the weights are beyond counting")
+			}
 		}
 		if sum == 0 {
 			return bad(f+".to", "the weights add up to 0")
--- a/proto/spec/types.go
+++ b/proto/spec/types.go
@@ -157,6 +157,8 @@
 	Taken []Taken `json:"taken,omitempty"`
 	// Copies is how many stores hold each key; 0 means 3.
 	Copies int `json:"copies,omitempty"`
+	// Tended: the sets look after themselves; no operator takes machines in.
+	Tended bool `json:"tended,omitempty"`
 	// Retired are the names of stores that operators sent away: they are not taken
 	// in again.
 	Retired []string `json:"retired,omitempty"`
--- a/proto/spec/types_easyjson.go
+++ b/proto/spec/types_easyjson.go
@@ -1338,828 +1338,72 @@
 				(out.Spec).UnmarshalEasyJSON(in)
 			}
 		case "table":
-			easyjson6601e8cdDecodeDamsontillerProtoSpec12(in, &out.Table)
-		case "taken":
-			if in.IsNull() {
-				in.Skip()
-				out.Taken = nil
-			} else {
-				in.Delim('[')
-				if out.Taken == nil {
-					if !in.IsDelim(']') {
-						out.Taken = make([]Taken, 0, 2)
-					} else {
-						out.Taken = []Taken{}
-					}
-				} else {
-					out.Taken = (out.Taken)[:0]
-				}
-				for !in.IsDelim(']') {
-					var v36 Taken
-					easyjson6601e8cdDecodeDamsontillerProtoSpec13(in, &v36)
-					out.Taken = append(out.Taken, v36)
-					in.WantComma()
-				}
-				in.Delim(']')
-			}
-		case "copies":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Copies = int(in.Int())
-			}
-		case "retired":
-			if in.IsNull() {
-				in.Skip()
-				out.Retired = nil
-			} else {
-				in.Delim('[')
-				if out.Retired == nil {
-					if !in.IsDelim(']') {
-						out.Retired = make([]string, 0, 4)
-					} else {
-						out.Retired = []string{}
-					}
-				} else {
-					out.Retired = (out.Retired)[:0]
-				}
-				for !in.IsDelim(']') {
-					var v37 string
-					if in.IsNull() {
-						in.Skip()
-					} else {
-						v37 = string(in.String())
-					}
-					out.Retired = append(out.Retired, v37)
-					in.WantComma()
-				}
-				in.Delim(']')
-			}
-		default:
-			in.AddError(&jlexer.LexerError{
-				Offset: in.GetPos(),
-				Reason: "unknown field",
-				Data:   key,
-			})
-		}
-		in.WantComma()
-	}
-	in.Delim('}')
-	if isTopLevel {
-		in.Consumed()
-	}
-}
-func easyjson6601e8cdEncodeDamsontillerProtoSpec10(out *jwriter.Writer, in Realm) {
-	out.RawByte('{')
-	first := true
-	_ = first
-	{
-		const prefix string = ",\"cores\":"
-		out.RawString(prefix[1:])
-		if in.Cores == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
-			out.RawString("null")
-		} else {
-			out.RawByte('[')
-			for v38, v39 := range in.Cores {
-				if v38 > 0 {
-					out.RawByte(',')
-				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec11(out, v39)
-			}
-			out.RawByte(']')
-		}
-	}
-	{
-		const prefix string = ",\"stores\":"
-		out.RawString(prefix)
-		if in.Stores == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
-			out.RawString("null")
-		} else {
-			out.RawByte('[')
-			for v40, v41 := range in.Stores {
-				if v40 > 0 {
-					out.RawByte(',')
-				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec11(out, v41)
-			}
-			out.RawByte(']')
-		}
-	}
-	if len(in.NextCores) != 0 {
-		const prefix string = ",\"next_cores\":"
-		out.RawString(prefix)
-		{
-			out.RawByte('[')
-			for v42, v43 := range in.NextCores {
-				if v42 > 0 {
-					out.RawByte(',')
-				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec11(out, v43)
-			}
-			out.RawByte(']')
-		}
-	}
-	if len(in.NextStores) != 0 {
-		const prefix string = ",\"next_stores\":"
-		out.RawString(prefix)
-		{
-			out.RawByte('[')
-			for v44, v45 := range in.NextStores {
-				if v44 > 0 {
-					out.RawByte(',')
-				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec11(out, v45)
-			}
-			out.RawByte(']')
-		}
-	}
-	if len(in.Used) != 0 {
-		const prefix string = ",\"used\":"
-		out.RawString(prefix)
-		{
-			out.RawByte('[')
-			for v46, v47 := range in.Used {
-				if v46 > 0 {
-					out.RawByte(',')
-				}
-				out.String(string(v47))
-			}
-			out.RawByte(']')
-		}
-	}
-	{
-		const prefix string = ",\"spec\":"
-		out.RawString(prefix)
-		(in.Spec).MarshalEasyJSON(out)
-	}
-	{
-		const prefix string = ",\"table\":"
-		out.RawString(prefix)
-		easyjson6601e8cdEncodeDamsontillerProtoSpec12(out, in.Table)
-	}
-	if len(in.Taken) != 0 {
-		const prefix string = ",\"taken\":"
-		out.RawString(prefix)
-		{
-			out.RawByte('[')
-			for v48, v49 := range in.Taken {
-				if v48 > 0 {
-					out.RawByte(',')
-				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec13(out, v49)
-			}
-			out.RawByte(']')
-		}
-	}
-	if in.Copies != 0 {
-		const prefix string = ",\"copies\":"
-		out.RawString(prefix)
-		out.Int(int(in.Copies))
-	}
-	if len(in.Retired) != 0 {
-		const prefix string = ",\"retired\":"
-		out.RawString(prefix)
-		{
-			out.RawByte('[')
-			for v50, v51 := range in.Retired {
-				if v50 > 0 {
-					out.RawByte(',')
-				}
-				out.String(string(v51))
-			}
-			out.RawByte(']')
-		}
-	}
-	out.RawByte('}')
-}
-
-// MarshalJSON supports json.Marshaler interface
-func (v Realm) MarshalJSON() ([]byte, error) {
-	w := jwriter.Writer{}
-	easyjson6601e8cdEncodeDamsontillerProtoSpec10(&w, v)
-	return w.Buffer.BuildBytes(), w.Error
-}
-
-// MarshalEasyJSON supports easyjson.Marshaler interface
-func (v Realm) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson6601e8cdEncodeDamsontillerProtoSpec10(w, v)
-}
-
-// UnmarshalJSON supports json.Unmarshaler interface
-func (v *Realm) UnmarshalJSON(data []byte) error {
-	r := jlexer.Lexer{Data: data}
-	easyjson6601e8cdDecodeDamsontillerProtoSpec10(&r, v)
-	return r.Error()
-}
-
-// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
-func (v *Realm) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson6601e8cdDecodeDamsontillerProtoSpec10(l, v)
-}
-func easyjson6601e8cdDecodeDamsontillerProtoSpec13(in *jlexer.Lexer, out *Taken) {
-	isTopLevel := in.IsStart()
-	if in.IsNull() {
-		if isTopLevel {
-			in.Consumed()
-		}
-		in.Skip()
-		return
-	}
-	in.Delim('{')
-	for !in.IsDelim('}') {
-		key := in.UnsafeFieldName(false)
-		in.WantColon()
-		switch key {
-		case "revision":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Revision = uint64(in.Uint64())
-			}
-		case "digest":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Digest = string(in.String())
-			}
-		default:
-			in.AddError(&jlexer.LexerError{
-				Offset: in.GetPos(),
-				Reason: "unknown field",
-				Data:   key,
-			})
-		}
-		in.WantComma()
-	}
-	in.Delim('}')
-	if isTopLevel {
-		in.Consumed()
-	}
-}
-func easyjson6601e8cdEncodeDamsontillerProtoSpec13(out *jwriter.Writer, in Taken) {
-	out.RawByte('{')
-	first := true
-	_ = first
-	{
-		const prefix string = ",\"revision\":"
-		out.RawString(prefix[1:])
-		out.Uint64(uint64(in.Revision))
-	}
-	{
-		const prefix string = ",\"digest\":"
-		out.RawString(prefix)
-		out.String(string(in.Digest))
-	}
-	out.RawByte('}')
-}
-func easyjson6601e8cdDecodeDamsontillerProtoSpec12(in *jlexer.Lexer, out *Table) {
-	isTopLevel := in.IsStart()
-	if in.IsNull() {
-		if isTopLevel {
-			in.Consumed()
-		}
-		in.Skip()
-		return
-	}
-	in.Delim('{')
-	for !in.IsDelim('}') {
-		key := in.UnsafeFieldName(false)
-		in.WantColon()
-		switch key {
-		case "revision":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Revision = uint64(in.Uint64())
-			}
-		case "paths":
-			if in.IsNull() {
-				in.Skip()
-				out.Paths = nil
-			} else {
-				in.Delim('[')
-				if out.Paths == nil {
-					if !in.IsDelim(']') {
-						out.Paths = make([]Path, 0, 0)
-					} else {
-						out.Paths = []Path{}
-					}
-				} else {
-					out.Paths = (out.Paths)[:0]
-				}
-				for !in.IsDelim(']') {
-					var v52 Path
-					easyjson6601e8cdDecodeDamsontillerProtoSpec14(in, &v52)
-					out.Paths = append(out.Paths, v52)
-					in.WantComma()
-				}
-				in.Delim(']')
-			}
-		case "services":
-			if in.IsNull() {
-				in.Skip()
-				out.Services = nil
-			} else {
-				in.Delim('[')
-				if out.Services == nil {
-					if !in.IsDelim(']') {
-						out.Services = make([]Service, 0, 0)
-					} else {
-						out.Services = []Service{}
-					}
-				} else {
-					out.Services = (out.Services)[:0]
-				}
-				for !in.IsDelim(']') {
-					var v53 Service
-					easyjson6601e8cdDecodeDamsontillerProtoSpec15(in, &v53)
-					out.Services = append(out.Services, v53)
-					in.WantComma()
-				}
-				in.Delim(']')
-			}
-		case "limits":
-			easyjson6601e8cdDecodeDamsontillerProtoSpec16(in, &out.Limits)
-		default:
-			in.AddError(&jlexer.LexerError{
-				Offset: in.GetPos(),
-				Reason: "unknown field",
-				Data:   key,
-			})
-		}
-		in.WantComma()
-	}
-	in.Delim('}')
-	if isTopLevel {
-		in.Consumed()
-	}
-}
-func easyjson6601e8cdEncodeDamsontillerProtoSpec12(out *jwriter.Writer, in Table) {
-	out.RawByte('{')
-	first := true
-	_ = first
-	{
-		const prefix string = ",\"revision\":"
-		out.RawString(prefix[1:])
-		out.Uint64(uint64(in.Revision))
-	}
-	{
-		const prefix string = ",\"paths\":"
-		out.RawString(prefix)
-		if in.Paths == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
-			out.RawString("null")
-		} else {
-			out.RawByte('[')
-			for v54, v55 := range in.Paths {
-				if v54 > 0 {
-					out.RawByte(',')
-				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec14(out, v55)
-			}
-			out.RawByte(']')
-		}
-	}
-	{
-		const prefix string = ",\"services\":"
-		out.RawString(prefix)
-		if in.Services == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
-			out.RawString("null")
-		} else {
-			out.RawByte('[')
-			for v56, v57 := range in.Services {
-				if v56 > 0 {
-					out.RawByte(',')
-				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec15(out, v57)
-			}
-			out.RawByte(']')
-		}
-	}
-	{
-		const prefix string = ",\"limits\":"
-		out.RawString(prefix)
-		easyjson6601e8cdEncodeDamsontillerProtoSpec16(out, in.Limits)
-	}
-	out.RawByte('}')
-}
-func easyjson6601e8cdDecodeDamsontillerProtoSpec16(in *jlexer.Lexer, out *Limits) {
-	isTopLevel := in.IsStart()
-	if in.IsNull() {
-		if isTopLevel {
-			in.Consumed()
-		}
-		in.Skip()
-		return
-	}
-	in.Delim('{')
-	for !in.IsDelim('}') {
-		key := in.UnsafeFieldName(false)
-		in.WantColon()
-		switch key {
-		case "header_bytes":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.HeaderBytes = int64(in.Int64())
-			}
-		case "body_bytes":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.BodyBytes = int64(in.Int64())
-			}
-		case "header_ms":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.HeaderMs = int64(in.Int64())
-			}
-		case "idle_ms":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.IdleMs = int64(in.Int64())
-			}
-		case "origin":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				if data := in.Raw(); in.Ok() {
-					in.AddError((out.Origin).UnmarshalJSON(data))
-				}
-			}
-		default:
-			in.AddError(&jlexer.LexerError{
-				Offset: in.GetPos(),
-				Reason: "unknown field",
-				Data:   key,
-			})
-		}
-		in.WantComma()
-	}
-	in.Delim('}')
-	if isTopLevel {
-		in.Consumed()
-	}
-}
-func easyjson6601e8cdEncodeDamsontillerProtoSpec16(out *jwriter.Writer, in Limits) {
-	out.RawByte('{')
-	first := true
-	_ = first
-	if in.HeaderBytes != 0 {
-		const prefix string = ",\"header_bytes\":"
-		first = false
-		out.RawString(prefix[1:])
-		out.Int64(int64(in.HeaderBytes))
-	}
-	if in.BodyBytes != 0 {
-		const prefix string = ",\"body_bytes\":"
-		if first {
-			first = false
-			out.RawString(prefix[1:])
-		} else {
-			out.RawString(prefix)
-		}
-		out.Int64(int64(in.BodyBytes))
-	}
-	if in.HeaderMs != 0 {
-		const prefix string = ",\"header_ms\":"
-		if first {
-			first = false
-			out.RawString(prefix[1:])
-		} else {
-			out.RawString(prefix)
-		}
-		out.Int64(int64(in.HeaderMs))
-	}
-	if in.IdleMs != 0 {
-		const prefix string = ",\"idle_ms\":"
-		if first {
-			first = false
-			out.RawString(prefix[1:])
-		} else {
-			out.RawString(prefix)
-		}
-		out.Int64(int64(in.IdleMs))
-	}
-	if len(in.Origin) != 0 {
-		const prefix string = ",\"origin\":"
-		if first {
-			first = false
-			out.RawString(prefix[1:])
-		} else {
-			out.RawString(prefix)
-		}
-		out.Raw((in.Origin).MarshalJSON())
-	}
-	out.RawByte('}')
-}
-func easyjson6601e8cdDecodeDamsontillerProtoSpec15(in *jlexer.Lexer, out *Service) {
-	isTopLevel := in.IsStart()
-	if in.IsNull() {
-		if isTopLevel {
-			in.Consumed()
-		}
-		in.Skip()
-		return
-	}
-	in.Delim('{')
-	for !in.IsDelim('}') {
-		key := in.UnsafeFieldName(false)
-		in.WantColon()
-		switch key {
-		case "name":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Name = string(in.String())
-			}
-		case "health_path":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.HealthPath = string(in.String())
-			}
-		case "max_conns":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.MaxConns = int(in.Int())
-			}
-		case "cold_ms":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.ColdMs = int64(in.Int64())
-			}
-		case "cold_rate":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.ColdRate = float64(in.Float64())
-			}
-		case "engine":
-			if in.IsNull() {
-				in.Skip()
-				out.Engine = nil
-			} else {
-				if out.Engine == nil {
-					out.Engine = new(Engine)
-				}
-				easyjson6601e8cdDecodeDamsontillerProtoSpec17(in, out.Engine)
-			}
-		case "origin":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				if data := in.Raw(); in.Ok() {
-					in.AddError((out.Origin).UnmarshalJSON(data))
-				}
-			}
-		default:
-			in.AddError(&jlexer.LexerError{
-				Offset: in.GetPos(),
-				Reason: "unknown field",
-				Data:   key,
-			})
-		}
-		in.WantComma()
-	}
-	in.Delim('}')
-	if isTopLevel {
-		in.Consumed()
-	}
-}
-func easyjson6601e8cdEncodeDamsontillerProtoSpec15(out *jwriter.Writer, in Service) {
-	out.RawByte('{')
-	first := true
-	_ = first
-	{
-		const prefix string = ",\"name\":"
-		out.RawString(prefix[1:])
-		out.String(string(in.Name))
-	}
-	if in.HealthPath != "" {
-		const prefix string = ",\"health_path\":"
-		out.RawString(prefix)
-		out.String(string(in.HealthPath))
-	}
-	if in.MaxConns != 0 {
-		const prefix string = ",\"max_conns\":"
-		out.RawString(prefix)
-		out.Int(int(in.MaxConns))
-	}
-	if in.ColdMs != 0 {
-		const prefix string = ",\"cold_ms\":"
-		out.RawString(prefix)
-		out.Int64(int64(in.ColdMs))
-	}
-	if in.ColdRate != 0 {
-		const prefix string = ",\"cold_rate\":"
-		out.RawString(prefix)
-		out.Float64(float64(in.ColdRate))
-	}
-	if in.Engine != nil {
-		const prefix string = ",\"engine\":"
-		out.RawString(prefix)
-		easyjson6601e8cdEncodeDamsontillerProtoSpec17(out, *in.Engine)
-	}
-	if len(in.Origin) != 0 {
-		const prefix string = ",\"origin\":"
-		out.RawString(prefix)
-		out.Raw((in.Origin).MarshalJSON())
-	}
-	out.RawByte('}')
-}
-func easyjson6601e8cdDecodeDamsontillerProtoSpec17(in *jlexer.Lexer, out *Engine) {
-	isTopLevel := in.IsStart()
-	if in.IsNull() {
-		if isTopLevel {
-			in.Consumed()
-		}
-		in.Skip()
-		return
-	}
-	in.Delim('{')
-	for !in.IsDelim('}') {
-		key := in.UnsafeFieldName(false)
-		in.WantColon()
-		switch key {
-		case "batch":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Batch = int(in.Int())
-			}
-		case "cache_tokens":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.CacheTokens = int64(in.Int64())
-			}
-		case "tokens_per_event":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.TokensPerEvent = int64(in.Int64())
-			}
-		default:
-			in.AddError(&jlexer.LexerError{
-				Offset: in.GetPos(),
-				Reason: "unknown field",
-				Data:   key,
-			})
-		}
-		in.WantComma()
-	}
-	in.Delim('}')
-	if isTopLevel {
-		in.Consumed()
-	}
-}
-func easyjson6601e8cdEncodeDamsontillerProtoSpec17(out *jwriter.Writer, in Engine) {
-	out.RawByte('{')
-	first := true
-	_ = first
-	{
-		const prefix string = ",\"batch\":"
-		out.RawString(prefix[1:])
-		out.Int(int(in.Batch))
-	}
-	{
-		const prefix string = ",\"cache_tokens\":"
-		out.RawString(prefix)
-		out.Int64(int64(in.CacheTokens))
-	}
-	{
-		const prefix string = ",\"tokens_per_event\":"
-		out.RawString(prefix)
-		out.Int64(int64(in.TokensPerEvent))
-	}
-	out.RawByte('}')
-}
-func easyjson6601e8cdDecodeDamsontillerProtoSpec14(in *jlexer.Lexer, out *Path) {
-	isTopLevel := in.IsStart()
-	if in.IsNull() {
-		if isTopLevel {
-			in.Consumed()
-		}
-		in.Skip()
-		return
-	}
-	in.Delim('{')
-	for !in.IsDelim('}') {
-		key := in.UnsafeFieldName(false)
-		in.WantColon()
-		switch key {
-		case "name":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Name = string(in.String())
-			}
-		case "authority":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Authority = string(in.String())
-			}
-		case "prefix":
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Prefix = string(in.String())
+				(out.Table).UnmarshalEasyJSON(in)
 			}
-		case "kind":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Kind = string(in.String())
-			}
-		case "to":
+		case "taken":
 			if in.IsNull() {
 				in.Skip()
-				out.To = nil
+				out.Taken = nil
 			} else {
 				in.Delim('[')
-				if out.To == nil {
+				if out.Taken == nil {
 					if !in.IsDelim(']') {
-						out.To = make([]Share, 0, 2)
+						out.Taken = make([]Taken, 0, 2)
 					} else {
-						out.To = []Share{}
+						out.Taken = []Taken{}
 					}
 				} else {
-					out.To = (out.To)[:0]
+					out.Taken = (out.Taken)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v58 Share
-					easyjson6601e8cdDecodeDamsontillerProtoSpec18(in, &v58)
-					out.To = append(out.To, v58)
+					var v36 Taken
+					easyjson6601e8cdDecodeDamsontillerProtoSpec12(in, &v36)
+					out.Taken = append(out.Taken, v36)
 					in.WantComma()
 				}
 				in.Delim(']')
 			}
-		case "guard_ms":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.GuardMs = int64(in.Int64())
-			}
-		case "aim_ms":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.AimMs = int64(in.Int64())
-			}
-		case "pause_ms":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.PauseMs = int64(in.Int64())
-			}
-		case "rank":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Rank = int(in.Int())
-			}
-		case "tries":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Tries = int(in.Int())
-			}
-		case "kept":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Kept = bool(in.Bool())
-			}
-		case "keep_ms":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.KeepMs = int64(in.Int64())
-			}
-		case "affine":
+		case "copies":
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Affine = bool(in.Bool())
+				out.Copies = int(in.Int())
 			}
-		case "resumable":
+		case "tended":
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Resumable = bool(in.Bool())
+				out.Tended = bool(in.Bool())
 			}
-		case "origin":
+		case "retired":
 			if in.IsNull() {
 				in.Skip()
+				out.Retired = nil
 			} else {
-				if data := in.Raw(); in.Ok() {
-					in.AddError((out.Origin).UnmarshalJSON(data))
+				in.Delim('[')
+				if out.Retired == nil {
+					if !in.IsDelim(']') {
+						out.Retired = make([]string, 0, 4)
+					} else {
+						out.Retired = []string{}
+					}
+				} else {
+					out.Retired = (out.Retired)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v37 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v37 = string(in.String())
+					}
+					out.Retired = append(out.Retired, v37)
+					in.WantComma()
 				}
+				in.Delim(']')
 			}
 		default:
 			in.AddError(&jlexer.LexerError{
@@ -2175,99 +1419,159 @@
 		in.Consumed()
 	}
 }
-func easyjson6601e8cdEncodeDamsontillerProtoSpec14(out *jwriter.Writer, in Path) {
+func easyjson6601e8cdEncodeDamsontillerProtoSpec10(out *jwriter.Writer, in Realm) {
 	out.RawByte('{')
 	first := true
 	_ = first
 	{
-		const prefix string = ",\"name\":"
+		const prefix string = ",\"cores\":"
 		out.RawString(prefix[1:])
-		out.String(string(in.Name))
-	}
-	{
-		const prefix string = ",\"authority\":"
-		out.RawString(prefix)
-		out.String(string(in.Authority))
-	}
-	{
-		const prefix string = ",\"prefix\":"
-		out.RawString(prefix)
-		out.String(string(in.Prefix))
-	}
-	{
-		const prefix string = ",\"kind\":"
-		out.RawString(prefix)
-		out.String(string(in.Kind))
-	}
-	{
-		const prefix string = ",\"to\":"
-		out.RawString(prefix)
-		if in.To == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+		if in.Cores == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v59, v60 := range in.To {
-				if v59 > 0 {
+			for v38, v39 := range in.Cores {
+				if v38 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec18(out, v60)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec11(out, v39)
 			}
 			out.RawByte(']')
 		}
 	}
 	{
-		const prefix string = ",\"guard_ms\":"
+		const prefix string = ",\"stores\":"
 		out.RawString(prefix)
-		out.Int64(int64(in.GuardMs))
+		if in.Stores == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v40, v41 := range in.Stores {
+				if v40 > 0 {
+					out.RawByte(',')
+				}
+				easyjson6601e8cdEncodeDamsontillerProtoSpec11(out, v41)
+			}
+			out.RawByte(']')
+		}
 	}
-	if in.AimMs != 0 {
-		const prefix string = ",\"aim_ms\":"
+	if len(in.NextCores) != 0 {
+		const prefix string = ",\"next_cores\":"
 		out.RawString(prefix)
-		out.Int64(int64(in.AimMs))
+		{
+			out.RawByte('[')
+			for v42, v43 := range in.NextCores {
+				if v42 > 0 {
+					out.RawByte(',')
+				}
+				easyjson6601e8cdEncodeDamsontillerProtoSpec11(out, v43)
+			}
+			out.RawByte(']')
+		}
 	}
-	if in.PauseMs != 0 {
-		const prefix string = ",\"pause_ms\":"
+	if len(in.NextStores) != 0 {
+		const prefix string = ",\"next_stores\":"
 		out.RawString(prefix)
-		out.Int64(int64(in.PauseMs))
+		{
+			out.RawByte('[')
+			for v44, v45 := range in.NextStores {
+				if v44 > 0 {
+					out.RawByte(',')
+				}
+				easyjson6601e8cdEncodeDamsontillerProtoSpec11(out, v45)
+			}
+			out.RawByte(']')
+		}
 	}
-	if in.Rank != 0 {
-		const prefix string = ",\"rank\":"
+	if len(in.Used) != 0 {
+		const prefix string = ",\"used\":"
 		out.RawString(prefix)
-		out.Int(int(in.Rank))
+		{
+			out.RawByte('[')
+			for v46, v47 := range in.Used {
+				if v46 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v47))
+			}
+			out.RawByte(']')
+		}
 	}
-	if in.Tries != 0 {
-		const prefix string = ",\"tries\":"
+	{
+		const prefix string = ",\"spec\":"
 		out.RawString(prefix)
-		out.Int(int(in.Tries))
+		(in.Spec).MarshalEasyJSON(out)
 	}
-	if in.Kept {
-		const prefix string = ",\"kept\":"
+	{
+		const prefix string = ",\"table\":"
 		out.RawString(prefix)
-		out.Bool(bool(in.Kept))
+		(in.Table).MarshalEasyJSON(out)
 	}
-	if in.KeepMs != 0 {
-		const prefix string = ",\"keep_ms\":"
+	if len(in.Taken) != 0 {
+		const prefix string = ",\"taken\":"
 		out.RawString(prefix)
-		out.Int64(int64(in.KeepMs))
+		{
+			out.RawByte('[')
+			for v48, v49 := range in.Taken {
+				if v48 > 0 {
+					out.RawByte(',')
+				}
+				easyjson6601e8cdEncodeDamsontillerProtoSpec12(out, v49)
+			}
+			out.RawByte(']')
+		}
 	}
-	if in.Affine {
-		const prefix string = ",\"affine\":"
+	if in.Copies != 0 {
+		const prefix string = ",\"copies\":"
 		out.RawString(prefix)
-		out.Bool(bool(in.Affine))
+		out.Int(int(in.Copies))
 	}
-	if in.Resumable {
-		const prefix string = ",\"resumable\":"
+	if in.Tended {
+		const prefix string = ",\"tended\":"
 		out.RawString(prefix)
-		out.Bool(bool(in.Resumable))
+		out.Bool(bool(in.Tended))
 	}
-	if len(in.Origin) != 0 {
-		const prefix string = ",\"origin\":"
+	if len(in.Retired) != 0 {
+		const prefix string = ",\"retired\":"
 		out.RawString(prefix)
-		out.Raw((in.Origin).MarshalJSON())
+		{
+			out.RawByte('[')
+			for v50, v51 := range in.Retired {
+				if v50 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v51))
+			}
+			out.RawByte(']')
+		}
 	}
 	out.RawByte('}')
 }
-func easyjson6601e8cdDecodeDamsontillerProtoSpec18(in *jlexer.Lexer, out *Share) {
+
+// MarshalJSON supports json.Marshaler interface
+func (v Realm) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson6601e8cdEncodeDamsontillerProtoSpec10(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Realm) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson6601e8cdEncodeDamsontillerProtoSpec10(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Realm) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson6601e8cdDecodeDamsontillerProtoSpec10(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Realm) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson6601e8cdDecodeDamsontillerProtoSpec10(l, v)
+}
+func easyjson6601e8cdDecodeDamsontillerProtoSpec12(in *jlexer.Lexer, out *Taken) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2281,17 +1585,17 @@
 		key := in.UnsafeFieldName(false)
 		in.WantColon()
 		switch key {
-		case "service":
+		case "revision":
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Service = string(in.String())
+				out.Revision = uint64(in.Uint64())
 			}
-		case "weight":
+		case "digest":
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Weight = int64(in.Int64())
+				out.Digest = string(in.String())
 			}
 		default:
 			in.AddError(&jlexer.LexerError{
@@ -2307,19 +1611,19 @@
 		in.Consumed()
 	}
 }
-func easyjson6601e8cdEncodeDamsontillerProtoSpec18(out *jwriter.Writer, in Share) {
+func easyjson6601e8cdEncodeDamsontillerProtoSpec12(out *jwriter.Writer, in Taken) {
 	out.RawByte('{')
 	first := true
 	_ = first
 	{
-		const prefix string = ",\"service\":"
+		const prefix string = ",\"revision\":"
 		out.RawString(prefix[1:])
-		out.String(string(in.Service))
+		out.Uint64(uint64(in.Revision))
 	}
 	{
-		const prefix string = ",\"weight\":"
+		const prefix string = ",\"digest\":"
 		out.RawString(prefix)
-		out.Int64(int64(in.Weight))
+		out.String(string(in.Digest))
 	}
 	out.RawByte('}')
 }
@@ -2401,7 +1705,7 @@
 	}
 	out.RawByte('}')
 }
-func easyjson6601e8cdDecodeDamsontillerProtoSpec19(in *jlexer.Lexer, out *Put) {
+func easyjson6601e8cdDecodeDamsontillerProtoSpec13(in *jlexer.Lexer, out *Put) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2441,7 +1745,7 @@
 		in.Consumed()
 	}
 }
-func easyjson6601e8cdEncodeDamsontillerProtoSpec19(out *jwriter.Writer, in Put) {
+func easyjson6601e8cdEncodeDamsontillerProtoSpec13(out *jwriter.Writer, in Put) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2461,27 +1765,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Put) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson6601e8cdEncodeDamsontillerProtoSpec19(&w, v)
+	easyjson6601e8cdEncodeDamsontillerProtoSpec13(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Put) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson6601e8cdEncodeDamsontillerProtoSpec19(w, v)
+	easyjson6601e8cdEncodeDamsontillerProtoSpec13(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Put) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson6601e8cdDecodeDamsontillerProtoSpec19(&r, v)
+	easyjson6601e8cdDecodeDamsontillerProtoSpec13(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Put) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson6601e8cdDecodeDamsontillerProtoSpec19(l, v)
+	easyjson6601e8cdDecodeDamsontillerProtoSpec13(l, v)
 }
-func easyjson6601e8cdDecodeDamsontillerProtoSpec20(in *jlexer.Lexer, out *PolicyPut) {
+func easyjson6601e8cdDecodeDamsontillerProtoSpec14(in *jlexer.Lexer, out *PolicyPut) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2521,7 +1825,7 @@
 		in.Consumed()
 	}
 }
-func easyjson6601e8cdEncodeDamsontillerProtoSpec20(out *jwriter.Writer, in PolicyPut) {
+func easyjson6601e8cdEncodeDamsontillerProtoSpec14(out *jwriter.Writer, in PolicyPut) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2547,27 +1851,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v PolicyPut) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson6601e8cdEncodeDamsontillerProtoSpec20(&w, v)
+	easyjson6601e8cdEncodeDamsontillerProtoSpec14(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v PolicyPut) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson6601e8cdEncodeDamsontillerProtoSpec20(w, v)
+	easyjson6601e8cdEncodeDamsontillerProtoSpec14(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *PolicyPut) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson6601e8cdDecodeDamsontillerProtoSpec20(&r, v)
+	easyjson6601e8cdDecodeDamsontillerProtoSpec14(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *PolicyPut) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson6601e8cdDecodeDamsontillerProtoSpec20(l, v)
+	easyjson6601e8cdDecodeDamsontillerProtoSpec14(l, v)
 }
-func easyjson6601e8cdDecodeDamsontillerProtoSpec21(in *jlexer.Lexer, out *Patch) {
+func easyjson6601e8cdDecodeDamsontillerProtoSpec15(in *jlexer.Lexer, out *Patch) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2610,13 +1914,13 @@
 						*out.EmptyZones = (*out.EmptyZones)[:0]
 					}
 					for !in.IsDelim(']') {
-						var v61 string
+						var v52 string
 						if in.IsNull() {
 							in.Skip()
 						} else {
-							v61 = string(in.String())
+							v52 = string(in.String())
 						}
-						*out.EmptyZones = append(*out.EmptyZones, v61)
+						*out.EmptyZones = append(*out.EmptyZones, v52)
 						in.WantComma()
 					}
 					in.Delim(']')
@@ -2645,9 +1949,9 @@
 						*out.Classes = (*out.Classes)[:0]
 					}
 					for !in.IsDelim(']') {
-						var v62 Class
-						easyjson6601e8cdDecodeDamsontillerProtoSpec4(in, &v62)
-						*out.Classes = append(*out.Classes, v62)
+						var v53 Class
+						easyjson6601e8cdDecodeDamsontillerProtoSpec4(in, &v53)
+						*out.Classes = append(*out.Classes, v53)
 						in.WantComma()
 					}
 					in.Delim(']')
@@ -2676,9 +1980,9 @@
 						*out.Keeping = (*out.Keeping)[:0]
 					}
 					for !in.IsDelim(']') {
-						var v63 Keeping
-						easyjson6601e8cdDecodeDamsontillerProtoSpec5(in, &v63)
-						*out.Keeping = append(*out.Keeping, v63)
+						var v54 Keeping
+						easyjson6601e8cdDecodeDamsontillerProtoSpec5(in, &v54)
+						*out.Keeping = append(*out.Keeping, v54)
 						in.WantComma()
 					}
 					in.Delim(']')
@@ -2707,9 +2011,9 @@
 						*out.Budgets = (*out.Budgets)[:0]
 					}
 					for !in.IsDelim(']') {
-						var v64 Budget
-						easyjson6601e8cdDecodeDamsontillerProtoSpec6(in, &v64)
-						*out.Budgets = append(*out.Budgets, v64)
+						var v55 Budget
+						easyjson6601e8cdDecodeDamsontillerProtoSpec6(in, &v55)
+						*out.Budgets = append(*out.Budgets, v55)
 						in.WantComma()
 					}
 					in.Delim(']')
@@ -2758,9 +2062,9 @@
 						*out.Runners = (*out.Runners)[:0]
 					}
 					for !in.IsDelim(']') {
-						var v65 Runner
-						easyjson6601e8cdDecodeDamsontillerProtoSpec2(in, &v65)
-						*out.Runners = append(*out.Runners, v65)
+						var v56 Runner
+						easyjson6601e8cdDecodeDamsontillerProtoSpec2(in, &v56)
+						*out.Runners = append(*out.Runners, v56)
 						in.WantComma()
 					}
 					in.Delim(']')
@@ -2780,7 +2084,7 @@
 		in.Consumed()
 	}
 }
-func easyjson6601e8cdEncodeDamsontillerProtoSpec21(out *jwriter.Writer, in Patch) {
+func easyjson6601e8cdEncodeDamsontillerProtoSpec15(out *jwriter.Writer, in Patch) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2802,11 +2106,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v66, v67 := range *in.EmptyZones {
-				if v66 > 0 {
+			for v57, v58 := range *in.EmptyZones {
+				if v57 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v67))
+				out.String(string(v58))
 			}
 			out.RawByte(']')
 		}
@@ -2823,11 +2127,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v68, v69 := range *in.Classes {
-				if v68 > 0 {
+			for v59, v60 := range *in.Classes {
+				if v59 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec4(out, v69)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec4(out, v60)
 			}
 			out.RawByte(']')
 		}
@@ -2844,11 +2148,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v70, v71 := range *in.Keeping {
-				if v70 > 0 {
+			for v61, v62 := range *in.Keeping {
+				if v61 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec5(out, v71)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec5(out, v62)
 			}
 			out.RawByte(']')
 		}
@@ -2865,11 +2169,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v72, v73 := range *in.Budgets {
-				if v72 > 0 {
+			for v63, v64 := range *in.Budgets {
+				if v63 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec6(out, v73)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec6(out, v64)
 			}
 			out.RawByte(']')
 		}
@@ -2906,11 +2210,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v74, v75 := range *in.Runners {
-				if v74 > 0 {
+			for v65, v66 := range *in.Runners {
+				if v65 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerProtoSpec2(out, v75)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec2(out, v66)
 			}
 			out.RawByte(']')
 		}
@@ -2921,27 +2225,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Patch) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson6601e8cdEncodeDamsontillerProtoSpec21(&w, v)
+	easyjson6601e8cdEncodeDamsontillerProtoSpec15(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Patch) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson6601e8cdEncodeDamsontillerProtoSpec21(w, v)
+	easyjson6601e8cdEncodeDamsontillerProtoSpec15(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Patch) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson6601e8cdDecodeDamsontillerProtoSpec21(&r, v)
+	easyjson6601e8cdDecodeDamsontillerProtoSpec15(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Patch) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson6601e8cdDecodeDamsontillerProtoSpec21(l, v)
+	easyjson6601e8cdDecodeDamsontillerProtoSpec15(l, v)
 }
-func easyjson6601e8cdDecodeDamsontillerProtoSpec22(in *jlexer.Lexer, out *Live) {
+func easyjson6601e8cdDecodeDamsontillerProtoSpec16(in *jlexer.Lexer, out *Live) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2981,7 +2285,7 @@
 		in.Consumed()
 	}
 }
-func easyjson6601e8cdEncodeDamsontillerProtoSpec22(out *jwriter.Writer, in Live) {
+func easyjson6601e8cdEncodeDamsontillerProtoSpec16(out *jwriter.Writer, in Live) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3001,27 +2305,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Live) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson6601e8cdEncodeDamsontillerProtoSpec22(&w, v)
+	easyjson6601e8cdEncodeDamsontillerProtoSpec16(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Live) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson6601e8cdEncodeDamsontillerProtoSpec22(w, v)
+	easyjson6601e8cdEncodeDamsontillerProtoSpec16(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Live) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson6601e8cdDecodeDamsontillerProtoSpec22(&r, v)
+	easyjson6601e8cdDecodeDamsontillerProtoSpec16(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Live) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson6601e8cdDecodeDamsontillerProtoSpec22(l, v)
+	easyjson6601e8cdDecodeDamsontillerProtoSpec16(l, v)
 }
-func easyjson6601e8cdDecodeDamsontillerProtoSpec23(in *jlexer.Lexer, out *Approval) {
+func easyjson6601e8cdDecodeDamsontillerProtoSpec17(in *jlexer.Lexer, out *Approval) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3060,9 +2364,9 @@
 				out.Seed = uint64(in.Uint64())
 			}
 		case "base":
-			easyjson6601e8cdDecodeDamsontillerProtoSpec24(in, &out.Base)
+			easyjson6601e8cdDecodeDamsontillerProtoSpec18(in, &out.Base)
 		case "cand":
-			easyjson6601e8cdDecodeDamsontillerProtoSpec24(in, &out.Cand)
+			easyjson6601e8cdDecodeDamsontillerProtoSpec18(in, &out.Cand)
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -3077,7 +2381,7 @@
 		in.Consumed()
 	}
 }
-func easyjson6601e8cdEncodeDamsontillerProtoSpec23(out *jwriter.Writer, in Approval) {
+func easyjson6601e8cdEncodeDamsontillerProtoSpec17(out *jwriter.Writer, in Approval) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3104,12 +2408,12 @@
 	{
 		const prefix string = ",\"base\":"
 		out.RawString(prefix)
-		easyjson6601e8cdEncodeDamsontillerProtoSpec24(out, in.Base)
+		easyjson6601e8cdEncodeDamsontillerProtoSpec18(out, in.Base)
 	}
 	{
 		const prefix string = ",\"cand\":"
 		out.RawString(prefix)
-		easyjson6601e8cdEncodeDamsontillerProtoSpec24(out, in.Cand)
+		easyjson6601e8cdEncodeDamsontillerProtoSpec18(out, in.Cand)
 	}
 	out.RawByte('}')
 }
@@ -3117,27 +2421,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Approval) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson6601e8cdEncodeDamsontillerProtoSpec23(&w, v)
+	easyjson6601e8cdEncodeDamsontillerProtoSpec17(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Approval) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson6601e8cdEncodeDamsontillerProtoSpec23(w, v)
+	easyjson6601e8cdEncodeDamsontillerProtoSpec17(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Approval) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson6601e8cdDecodeDamsontillerProtoSpec23(&r, v)
+	easyjson6601e8cdDecodeDamsontillerProtoSpec17(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Approval) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson6601e8cdDecodeDamsontillerProtoSpec23(l, v)
+	easyjson6601e8cdDecodeDamsontillerProtoSpec17(l, v)
 }
-func easyjson6601e8cdDecodeDamsontillerProtoSpec24(in *jlexer.Lexer, out *Figures) {
+func easyjson6601e8cdDecodeDamsontillerProtoSpec18(in *jlexer.Lexer, out *Figures) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3191,13 +2495,13 @@
 					out.MissedByRun = (out.MissedByRun)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v76 int64
+					var v67 int64
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v76 = int64(in.Int64())
+						v67 = int64(in.Int64())
 					}
-					out.MissedByRun = append(out.MissedByRun, v76)
+					out.MissedByRun = append(out.MissedByRun, v67)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3247,9 +2551,9 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v77 Wait
-					easyjson6601e8cdDecodeDamsontillerProtoSpec25(in, &v77)
-					(out.Waits)[key] = v77
+					var v68 Wait
+					easyjson6601e8cdDecodeDamsontillerProtoSpec19(in, &v68)
+					(out.Waits)[key] = v68
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -3268,7 +2572,7 @@
 		in.Consumed()
 	}
 }
-func easyjson6601e8cdEncodeDamsontillerProtoSpec24(out *jwriter.Writer, in Figures) {
+func easyjson6601e8cdEncodeDamsontillerProtoSpec18(out *jwriter.Writer, in Figures) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3299,11 +2603,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v78, v79 := range in.MissedByRun {
-				if v78 > 0 {
+			for v69, v70 := range in.MissedByRun {
+				if v69 > 0 {
 					out.RawByte(',')
 				}
-				out.Int64(int64(v79))
+				out.Int64(int64(v70))
 			}
 			out.RawByte(']')
 		}
@@ -3345,23 +2649,23 @@
 			out.RawString(`null`)
 		} else {
 			out.RawByte('{')
-			v80First := true
-			for v80Name, v80Value := range in.Waits {
-				if v80First {
-					v80First = false
+			v71First := true
+			for v71Name, v71Value := range in.Waits {
+				if v71First {
+					v71First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v80Name))
+				out.String(string(v71Name))
 				out.RawByte(':')
-				easyjson6601e8cdEncodeDamsontillerProtoSpec25(out, v80Value)
+				easyjson6601e8cdEncodeDamsontillerProtoSpec19(out, v71Value)
 			}
 			out.RawByte('}')
 		}
 	}
 	out.RawByte('}')
 }
-func easyjson6601e8cdDecodeDamsontillerProtoSpec25(in *jlexer.Lexer, out *Wait) {
+func easyjson6601e8cdDecodeDamsontillerProtoSpec19(in *jlexer.Lexer, out *Wait) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3401,7 +2705,7 @@
 		in.Consumed()
 	}
 }
-func easyjson6601e8cdEncodeDamsontillerProtoSpec25(out *jwriter.Writer, in Wait) {
+func easyjson6601e8cdEncodeDamsontillerProtoSpec19(out *jwriter.Writer, in Wait) {
 	out.RawByte('{')
 	first := true
 	_ = first
--- /dev/null
+++ b/state/vault/bench_test.go
@@ -0,0 +1,213 @@
+package vault_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"damsontiller/proto/reg"
+	"damsontiller/proto/wire"
+	"damsontiller/state/vault"
+	"damsontiller/xport"
+)
+
+// counts are the calls to the network's connections, both ends together.
+type counts struct{ reads, writes, wrote atomic.Int64 }
+
+type counted struct {
+	net.Conn
+	c *counts
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	c.c.reads.Add(1)
+	return c.Conn.Read(b)
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	c.c.writes.Add(1)
+	c.c.wrote.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+type countedListener struct {
+	net.Listener
+	c *counts
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return counted{c, l.c}, nil
+}
+
+// stores starts three stores on loopback and a caller of them.
+func stores(b *testing.B, fs func(i int) (vfs.FS, string)) (reg.Set, wire.Caller, *counts) {
+	b.Helper()
+	cs := &counts{}
+	tcp := xport.TCP(xport.DefaultParams)
+	var g []reg.Replica
+	for i := range 3 {
+		f, dir := fs(i)
+		id := fmt.Sprintf("s%d", i)
+		v, err := vault.Open(vault.Params{Dir: dir, ID: id, Role: "store", FS: f})
+		if err != nil {
+			b.Fatal(err)
+		}
+		a := reg.NewAcceptor(v)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		s := xport.Serve(b.Context(), countedListener{ln, cs}, xport.DefaultParams, func(_ context.Context, body []byte) []byte {
+			q := &wire.Req{}
+			if err := wire.Decode(body, q); err != nil {
+				return wire.Encode(wire.Fail(err))
+			}
+			r, err := answer(a, v, q)
+			if err != nil {
+				f := wire.Fail(err)
+				f.Op = r.GetOp()
+				r = f
+			}
+			return wire.Encode(r)
+		}, func(error) {})
+		b.Cleanup(func() {
+			s.Close()
+			if err := v.Close(); err != nil {
+				b.Error(err)
+			}
+		})
+		g = append(g, reg.Replica{Addr: ln.Addr().String(), Ident: v.Ident()})
+	}
+	h := xport.NewHub(xport.Net{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := tcp.Dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		return counted{c, cs}, nil
+	}}, xport.DefaultParams, nil)
+	b.Cleanup(h.Close)
+	return reg.Set{g}, func(ctx context.Context, addr string, q *wire.Req) (*wire.Resp, error) {
+		body, err := h.Call(ctx, addr, wire.Encode(q))
+		if err != nil {
+			return nil, err
+		}
+		r := &wire.Resp{}
+		if err := wire.Decode(body, r); err != nil {
+			return nil, err
+		}
+		return r, r.Err()
+	}, cs
+}
+
+func answer(a *reg.Acceptor, v *vault.Vault, q *wire.Req) (*wire.Resp, error) {
+	var view *wire.View
+	var err error
+	switch {
+	case q.GetPrep() != nil:
+		view, err = a.Prep(q.GetPrep())
+	case q.GetAcc() != nil:
+		view, err = a.Acc(q.GetAcc())
+	case q.GetLook() != nil:
+		view, err = a.Look(q.GetLook())
+	case q.GetPut() != nil:
+		p := q.GetPut()
+		return wire.Done(), v.PutBlob(p.Key, p.Val, time.Duration(p.KeepMs)*time.Millisecond)
+	case q.GetGet() != nil:
+		g, err := v.GetBlob(q.GetGet().Key)
+		return &wire.Resp{Op: &wire.Resp_Got{Got: g}}, err
+	default:
+		return nil, errors.New("unknown request")
+	}
+	return &wire.Resp{Op: &wire.Resp_View{View: view}}, err
+}
+
+func mem(int) (vfs.FS, string) { return vfs.NewMem(), "/data" }
+
+// tell adds what one operation cost on the network.
+func tell(b *testing.B, cs *counts) {
+	n := float64(b.N)
+	b.ReportMetric(float64(cs.reads.Load())/n, "reads/op")
+	b.ReportMetric(float64(cs.writes.Load())/n, "writes/op")
+	b.ReportMetric(float64(cs.wrote.Load())/n, "netB/op")
+}
+
+// BenchmarkChange is one proposer's changes of a key, one after another.
+func BenchmarkChange(b *testing.B) {
+	for _, on := range []struct {
+		name string
+		fs   func(b *testing.B) func(int) (vfs.FS, string)
+	}{
+		{"mem", func(*testing.B) func(int) (vfs.FS, string) { return mem }},
+		{"disk", func(b *testing.B) func(int) (vfs.FS, string) {
+			return func(int) (vfs.FS, string) { return nil, b.TempDir() }
+		}},
+	} {
+		b.Run(on.name, func(b *testing.B) {
+			set, call, cs := stores(b, on.fs(b))
+			p := reg.NewProposer(1, call)
+			val := make([]byte, 300)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := p.Change(b.Context(), set, "k", func(reg.State) ([]byte, bool, error) { return val, false, nil }); err != nil {
+					b.Fatal(err)
+				}
+			}
+			tell(b, cs)
+			b.ReportMetric(float64(p.Rounds.Load())/float64(b.N), "rounds/op")
+		})
+	}
+}
+
+// BenchmarkChanges is many keys at once, each changed twice in a row, as a job's
+// start and its end do.
+func BenchmarkChanges(b *testing.B) {
+	set, call, cs := stores(b, mem)
+	p := reg.NewProposer(1, call)
+	val := make([]byte, 300)
+	var n atomic.Int64
+	b.SetParallelism(8)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			key := fmt.Sprintf("k%d", n.Add(1))
+			for range 2 {
+				if _, err := p.Change(b.Context(), set, key, func(reg.State) ([]byte, bool, error) { return val, false, nil }); err != nil {
+					b.Error(err)
+				}
+			}
+		}
+	})
+	tell(b, cs)
+	b.ReportMetric(float64(p.Rounds.Load())/float64(b.N), "rounds/op")
+}
+
+// BenchmarkBlob puts a value of 4 KiB at three stores and gets it from one.
+func BenchmarkBlob(b *testing.B) {
+	set, call, cs := stores(b, mem)
+	val := make([]byte, 4<<10)
+	i := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		i++
+		key := fmt.Sprintf("k%d", i)
+		for _, r := range set.All() {
+			if _, err := call(b.Context(), r.Addr, &wire.Req{Op: &wire.Req_Put{Put: &wire.Put{Key: key, Val: val, KeepMs: 1000}}}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if _, err := call(b.Context(), set[0][0].Addr, &wire.Req{Op: &wire.Req_Get{Get: &wire.Get{Key: key}}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	tell(b, cs)
+}
--- a/state/vault/blob.go
+++ b/state/vault/blob.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"time"
 
-	"github.com/cockroachdb/pebble/v2"
 	"google.golang.org/protobuf/proto"
 
 	"damsontiller/proto/wire"
@@ -76,7 +75,10 @@
 // Sweep empties blobs past their keeping time and, much later, forgets them.
 func (v *Vault) Sweep() (emptied, forgotten int, err error) {
 	now := v.Lived().Milliseconds()
+	// One holder of life at a time: a second behind a waiting Renew would never end.
+	v.life.RLock()
 	b := v.db.NewBatch()
+	v.life.RUnlock()
 	defer b.Close()
 	err = v.each(blobPre, func(k string, raw []byte) error {
 		g := &wire.Got{}
@@ -96,7 +98,7 @@
 		return nil
 	})
 	if err == nil && !b.Empty() {
-		err = b.Commit(pebble.Sync)
+		err = v.commit(b)
 	}
 	return emptied, forgotten, err
 }
--- a/state/vault/vault.go
+++ b/state/vault/vault.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -65,6 +66,9 @@
 
 	room room
 
+	// life is held while the data is used, and alone while it is changed for another.
+	life sync.RWMutex
+
 	mu    sync.Mutex
 	base  time.Duration // lived before this start
 	start time.Time
@@ -164,7 +168,7 @@
 func (v *Vault) renew(why string) error {
 	if _, err := v.fs.Stat(v.path("db")); err == nil {
 		for n := 1; ; n++ {
-			to := v.path(fmt.Sprintf("db.aside-%d", n))
+			to := v.path(fmt.Sprintf(aside+"%d", n))
 			if _, err := v.fs.Stat(to); err != nil {
 				if err := v.fs.Rename(v.path("db"), to); err != nil {
 					return code.New(code.DiskProblem, "put aside: %w", err)
@@ -238,15 +242,55 @@
 func (q quiet) Fatalf(f string, a ...any) { panic(fmt.Sprintf("pebble: "+f, a...)) }
 
 // Ident is the identity that this folder stands for.
-func (v *Vault) Ident() string { return v.paper.Ident }
+func (v *Vault) Ident() string {
+	v.life.RLock()
+	defer v.life.RUnlock()
+	return v.paper.Ident
+}
+
+// Renew puts the data aside and goes on empty, under a new identity. Of what was
+// put aside before nothing is kept: nobody will ask for it.
+func (v *Vault) Renew(why string) error {
+	v.life.Lock()
+	defer v.life.Unlock()
+	if err := v.db.Close(); err != nil {
+		v.p.Log("data not closed", "err", err)
+	}
+	names, err := v.fs.List(v.p.Dir)
+	for _, n := range names {
+		if strings.HasPrefix(n, aside) && err == nil {
+			err = v.fs.RemoveAll(v.path(n))
+		}
+	}
+	if err == nil {
+		err = v.renew(why)
+	}
+	if err != nil {
+		return code.New(code.DiskProblem, "renew: %w", err)
+	}
+	if err := v.openDB(); err != nil {
+		return code.New(code.DiskProblem, "data folder: %w", err)
+	}
+	v.mu.Lock()
+	v.base, v.start = 0, time.Now()
+	v.mu.Unlock()
+	return nil
+}
+
+// aside is how the names of data put aside begin.
+const aside = "db.aside-"
 
 // Close closes the folder.
 func (v *Vault) Close() error {
 	err := v.Tick()
+	v.life.Lock()
+	defer v.life.Unlock()
 	return errors.Join(err, v.db.Close())
 }
 
 func (v *Vault) get(key string) ([]byte, error) {
+	v.life.RLock()
+	defer v.life.RUnlock()
 	b, c, err := v.db.Get([]byte(key))
 	if errors.Is(err, pebble.ErrNotFound) {
 		return nil, nil
@@ -259,6 +303,8 @@
 }
 
 func (v *Vault) put(key string, b []byte) error {
+	v.life.RLock()
+	defer v.life.RUnlock()
 	if err := v.timed(func() error { return v.db.Set([]byte(key), b, pebble.Sync) }); err != nil {
 		return code.New(code.DiskProblem, "write: %w", err)
 	}
@@ -324,6 +370,8 @@
 
 // Drop forgets a register altogether.
 func (v *Vault) Drop(key string) error {
+	v.life.RLock()
+	defer v.life.RUnlock()
 	if err := v.timed(func() error { return v.db.Delete([]byte(regPre+key), pebble.Sync) }); err != nil {
 		return code.New(code.DiskProblem, "delete: %w", err)
 	}
@@ -369,6 +417,19 @@
 	return out, err
 }
 
+// Registers goes through the registers whose keys begin with a prefix that ends in
+// a slash.
+func (v *Vault) Registers(prefix string, on func(key string, r *wire.Rec)) error {
+	return v.each(regPre+prefix, func(k string, raw []byte) error {
+		r := &wire.Rec{}
+		if err := proto.Unmarshal(raw, r); err != nil {
+			return code.New(code.DiskProblem, "record %s: %w", k[len(regPre):], err)
+		}
+		on(k[len(regPre):], r)
+		return nil
+	})
+}
+
 // Note keeps a small fact of the process's own; Noted reads it.
 func (v *Vault) Note(key string, b []byte) error { return v.put(metaPre+"n/"+key, b) }
 
@@ -397,6 +458,8 @@
 	if after != "" {
 		low = append([]byte(pre+after), 0)
 	}
+	v.life.RLock()
+	defer v.life.RUnlock()
 	it, err := v.db.NewIter(&pebble.IterOptions{LowerBound: low, UpperBound: end})
 	if err != nil {
 		return code.New(code.DiskProblem, "scan: %w", err)
--- a/xport/frame.go
+++ b/xport/frame.go
@@ -3,8 +3,11 @@
 package xport
 
 import (
+	"bufio"
 	"encoding/binary"
 	"io"
+	"net"
+	"sync"
 
 	"damsontiller/xport/code"
 )
@@ -27,20 +30,101 @@
 	body []byte
 }
 
-// head: magic, version, kind, zero, length (4), id (8).
-func writeFrame(w io.Writer, f frame) error {
-	b := make([]byte, headLen+len(f.body))
-	b[0], b[1], b[2] = magic, Version, f.kind
-	binary.BigEndian.PutUint32(b[4:], uint32(len(f.body)))
-	binary.BigEndian.PutUint64(b[8:], f.id)
-	copy(b[headLen:], f.body)
-	_, err := w.Write(b)
+// headOf lays down a frame's head: magic, version, kind, zero, length (4), id (8).
+func headOf(b []byte, f frame) []byte {
+	b = append(b, magic, Version, f.kind, 0)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(f.body)))
+	return binary.BigEndian.AppendUint64(b, f.id)
+}
+
+const (
+	// A batch takes no more frames once it is as large as outBuf, and a body of
+	// ownBody bytes is not copied into it, where the connection can do without.
+	outBuf  = 16 << 10
+	ownBody = 4 << 10
+)
+
+// batch is the frames of one write.
+type batch struct {
+	b     []byte
+	from  int         // what of b is in parts already
+	parts net.Buffers // what comes before it, in order
+}
+
+// Only a connection that is being written to has a batch.
+var batches = sync.Pool{New: func() any { return &batch{} }}
+
+func (o *batch) add(f frame, split bool) {
+	o.b = headOf(o.b, f)
+	if !split || len(f.body) < ownBody {
+		o.b = append(o.b, f.body...)
+		return
+	}
+	o.parts = append(o.parts, o.b[o.from:len(o.b):len(o.b)], f.body)
+	o.from = len(o.b)
+}
+
+func (o *batch) size() int {
+	n := len(o.b) - o.from
+	for _, p := range o.parts {
+		n += len(p)
+	}
+	return n
+}
+
+// write is one call to the system. A connection that isn't TCP gets one Write as
+// well, so that in a simulated network a frame is lost whole or not at all.
+func (o *batch) write(c net.Conn) error {
+	if len(o.parts) == 0 {
+		_, err := c.Write(o.b)
+		return err
+	}
+	if o.from < len(o.b) {
+		o.parts = append(o.parts, o.b[o.from:])
+	}
+	all := o.parts
+	_, err := all.WriteTo(c)
 	return err
 }
 
-func readFrame(r io.Reader, most int) (frame, error) {
-	var h [headLen]byte
-	if _, err := io.ReadFull(r, h[:]); err != nil {
+func (o *batch) free() {
+	clear(o.parts)
+	if o.b, o.parts, o.from = o.b[:0], o.parts[:0], 0; cap(o.b) <= 2*outBuf {
+		batches.Put(o)
+	}
+}
+
+// writeAll is the one writer of a connection. What waits goes out together.
+func writeAll(c net.Conn, out <-chan frame, done <-chan struct{}, end func(error)) {
+	_, split := c.(*net.TCPConn)
+	for {
+		select {
+		case <-done:
+			return
+		case f := <-out:
+			o := batches.Get().(*batch)
+			o.add(f, split)
+			for more := true; more && o.size() < outBuf; {
+				select {
+				case f := <-out:
+					o.add(f, split)
+				default:
+					more = false
+				}
+			}
+			err := o.write(c)
+			o.free()
+			if err != nil {
+				end(err)
+				return
+			}
+		}
+	}
+}
+
+func readFrame(r *bufio.Reader, most int) (frame, error) {
+	h, err := r.Peek(headLen)
+	if err != nil {
 		return frame{}, err
 	}
 	if h[0] != magic || h[3] != 0 || h[2] < kindCall || h[2] > kindAlien {
@@ -55,6 +139,9 @@
 		return frame{}, code.New(code.FrameTooLong, "frame of %d bytes, limit %d", n, most)
 	}
 	f := frame{kind: h[2], id: binary.BigEndian.Uint64(h[8:]), body: make([]byte, n)}
+	if _, err := r.Discard(headLen); err != nil {
+		return frame{}, err
+	}
 	if _, err := io.ReadFull(r, f.body); err != nil {
 		return frame{}, err
 	}
--- a/xport/hub.go
+++ b/xport/hub.go
@@ -20,10 +20,11 @@
 	DialCutoff time.Duration // for one dial
 	Backlog    int           // frames waiting to be written on one connection
 	Inflight   int           // calls served at once, all connections together
+	Idle       time.Duration // after which a connection without calls is let go; 0 means never
 }
 
 // DefaultParams suit machines of one city.
-var DefaultParams = Params{MaxFrame: 8 << 20, DialCutoff: 500 * time.Millisecond, Backlog: 256, Inflight: 4096}
+var DefaultParams = Params{MaxFrame: 8 << 20, DialCutoff: 500 * time.Millisecond, Backlog: 64, Inflight: 4096, Idle: 30 * time.Second}
 
 // Net is the way to the network; tests put a simulated one here.
 type Net struct {
@@ -40,6 +41,11 @@
 	}
 }
 
+// readBuffer is for frames' heads and small bodies; a long body is read straight
+// into its own memory. It is held by each connection, and a core machine has one
+// for every node.
+const readBuffer = 4 << 10
+
 // ErrRefused means nobody listens at the address: the process there is gone.
 var ErrRefused = errors.New("port refused")
 
@@ -48,12 +54,13 @@
 
 // Hub calls peers, one connection to each, dialled when first needed.
 type Hub struct {
-	net  Net
-	p    Params
-	cuts *Cuts
-	mu   sync.Mutex
-	all  map[string]*link
-	id   atomic.Uint64
+	net   Net
+	p     Params
+	cuts  *Cuts
+	mu    sync.Mutex
+	all   map[string]*link
+	swept time.Time
+	id    atomic.Uint64
 	// Sent counts calls, for the measures of messages per node.
 	Sent atomic.Uint64
 }
@@ -70,9 +77,15 @@
 	once sync.Once
 	mu   sync.Mutex
 	wait map[uint64]chan frame
+	used time.Time    // when a call last began or ended
+	idle bool         // let go: no call may begin on it any more
+	rest []chan frame // empty, for later calls
 	err  error
 }
 
+// restMost bounds the channels that a connection keeps for later calls.
+const restMost = 64
+
 // Call sends body to addr and waits for the answer until ctx ends.
 func (h *Hub) Call(ctx context.Context, addr string, body []byte) ([]byte, error) {
 	// A cut swallows the call, as a lost packet would.
@@ -80,21 +93,21 @@
 		<-ctx.Done()
 		return nil, fmt.Errorf("%w: %s: %w", ErrLost, addr, ctx.Err())
 	}
+	f := frame{kind: kindCall, id: h.id.Add(1), body: body}
 	l, err := h.link(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
+	ch := l.begin(f.id)
+	for ch == nil {
+		// It was let go as idle just now; nothing has been sent on it.
+		if l, err = h.link(ctx, addr); err != nil {
+			return nil, err
+		}
+		ch = l.begin(f.id)
+	}
 	h.Sent.Add(1)
-	f := frame{kind: kindCall, id: h.id.Add(1), body: body}
-	ch := make(chan frame, 1)
-	l.mu.Lock()
-	l.wait[f.id] = ch
-	l.mu.Unlock()
-	defer func() {
-		l.mu.Lock()
-		delete(l.wait, f.id)
-		l.mu.Unlock()
-	}()
+	defer l.over(f.id, ch)
 	select {
 	case l.out <- f:
 	case <-l.done:
@@ -124,6 +137,66 @@
 	}
 }
 
+// begin registers a call and gives the place where its answer will be; none if the
+// connection was let go as idle.
+func (l *link) begin(id uint64) (ch chan frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.idle {
+		return nil
+	}
+	if n := len(l.rest); n > 0 {
+		ch, l.rest = l.rest[n-1], l.rest[:n-1]
+	} else {
+		ch = make(chan frame, 1)
+	}
+	l.wait[id], l.used = ch, time.Now()
+	return ch
+}
+
+// over ends a call. Its answer is laid down under the lock and once, so from here on
+// nobody lays anything there, and the place serves another call.
+func (l *link) over(id uint64, ch chan frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.wait, id)
+	l.used = time.Now()
+	select {
+	case <-ch:
+	default:
+	}
+	if len(l.rest) < restMost {
+		l.rest = append(l.rest, ch)
+	}
+}
+
+// letGo ends the connection if it has been idle since before.
+func (l *link) letGo(before time.Time) bool {
+	l.mu.Lock()
+	if len(l.wait) > 0 || !l.used.Before(before) {
+		l.mu.Unlock()
+		return false
+	}
+	l.idle = true
+	l.mu.Unlock()
+	l.end(net.ErrClosed)
+	return true
+}
+
+// sweep lets idle connections go: a node talks to all others in time, and would
+// keep one to each of them. Whenever one is added is often enough.
+func (h *Hub) sweep(now time.Time) {
+	if h.p.Idle <= 0 || now.Sub(h.swept) < time.Second {
+		return
+	}
+	h.swept = now
+	for a, l := range h.all {
+		if l.ended() || l.letGo(now.Add(-h.p.Idle)) {
+			delete(h.all, a)
+		}
+	}
+}
+
 func (h *Hub) link(ctx context.Context, addr string) (*link, error) {
 	h.mu.Lock()
 	l := h.all[addr]
@@ -138,7 +211,7 @@
 		}
 		return nil, fmt.Errorf("dial %s: %w", addr, err)
 	}
-	n := &link{conn: c, out: make(chan frame, h.p.Backlog), done: make(chan struct{}), wait: map[uint64]chan frame{}}
+	n := &link{conn: c, out: make(chan frame, h.p.Backlog), done: make(chan struct{}), wait: map[uint64]chan frame{}, used: time.Now()}
 	h.mu.Lock()
 	// Two callers may have dialled at once; the first one in is kept.
 	if l = h.all[addr]; l != nil && !l.ended() {
@@ -146,6 +219,7 @@
 		c.Close()
 		return l, nil
 	}
+	h.sweep(time.Now())
 	h.all[addr] = n
 	h.mu.Unlock()
 	go writeAll(c, n.out, n.done, n.end)
@@ -179,7 +253,7 @@
 }
 
 func (l *link) read(most int) {
-	r := bufio.NewReaderSize(l.conn, 64<<10)
+	r := bufio.NewReaderSize(l.conn, readBuffer)
 	for {
 		f, err := readFrame(r, most)
 		if err != nil {
@@ -187,29 +261,12 @@
 			return
 		}
 		l.mu.Lock()
-		ch := l.wait[f.id]
-		l.mu.Unlock()
 		// An answer nobody waits for any more is let go.
-		if ch != nil {
-			select {
-			case ch <- f:
-			default:
-			}
-		}
-	}
-}
-
-// writeAll is the one writer of a connection.
-func writeAll(c net.Conn, out <-chan frame, done <-chan struct{}, end func(error)) {
-	for {
-		select {
-		case <-done:
-			return
-		case f := <-out:
-			if err := writeFrame(c, f); err != nil {
-				end(err)
-				return
-			}
+		if ch := l.wait[f.id]; ch != nil {
+			delete(l.wait, f.id)
+			l.used = time.Now()
+			ch <- f
 		}
+		l.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/xport/idle_test.go
@@ -0,0 +1,141 @@
+package xport_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damsontiller/xport"
+	"damsontiller/xport/memnet"
+)
+
+// TestIdle: a connection on which nothing is asked for a while is let go once
+// another is dialled; one with a call under way is not, and a later call to the
+// same address dials anew.
+func TestIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(1)
+		var bad atomic.Int64
+		var last atomic.Value
+		for i := range 4 {
+			s := echo(t, n.Host(fmt.Sprintf("s%d", i)), fmt.Sprintf("s%d", i), &bad, &last)
+			defer s.Close()
+		}
+		ln, err := n.Host("slow").Listen("slow")
+		if err != nil {
+			t.Fatal(err)
+		}
+		slow := xport.Serve(t.Context(), ln, xport.DefaultParams, func(_ context.Context, b []byte) []byte {
+			time.Sleep(3 * xport.DefaultParams.Idle)
+			return b
+		}, func(error) { bad.Add(1) })
+		defer slow.Close()
+		// The open connections, by address.
+		var mu sync.Mutex
+		open, dials := map[string]int{}, 0
+		host := n.Host("c")
+		dial := host.Dial
+		host.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			c, err := dial(ctx, addr)
+			if err != nil {
+				return nil, err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			open[addr]++
+			dials++
+			return &ending{Conn: c, end: func() {
+				mu.Lock()
+				defer mu.Unlock()
+				open[addr]--
+			}}, nil
+		}
+		count := func() (n int) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, k := range open {
+				n += k
+			}
+			return n
+		}
+		h := xport.NewHub(host, xport.DefaultParams, nil)
+		defer h.Close()
+		ask := func(addr string) {
+			t.Helper()
+			if b, err := h.Call(t.Context(), addr, []byte("x")); err != nil || string(b) != "x" {
+				t.Errorf("%s: %q, %v", addr, b, err)
+			}
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { ask("slow") })
+		ask("s0")
+		ask("s1")
+		synctest.Wait()
+		if count() != 3 {
+			t.Fatalf("%d connections, want 3", count())
+		}
+		time.Sleep(xport.DefaultParams.Idle * 2 / 3)
+		ask("s1")
+		time.Sleep(xport.DefaultParams.Idle * 2 / 3)
+		ask("s2")
+		synctest.Wait()
+		if count() != 3 || open["s0"] != 0 {
+			t.Errorf("open %v: want all but s0's, which was idle", open)
+		}
+		ask("s0")
+		if open["s0"] != 1 || dials != 5 {
+			t.Errorf("open %v after %d dials", open, dials)
+		}
+		wg.Wait()
+		if bad.Load() != 0 {
+			t.Errorf("%d problems at the servers", bad.Load())
+		}
+	})
+}
+
+type ending struct {
+	net.Conn
+	once sync.Once
+	end  func()
+}
+
+func (c *ending) Close() error {
+	c.once.Do(c.end)
+	return c.Conn.Close()
+}
+
+// TestIdleRace: calls that begin as their connection is let go are all answered.
+func TestIdleRace(t *testing.T) {
+	var bad atomic.Int64
+	var last atomic.Value
+	const peers = 6
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(1)
+		for i := range peers {
+			s := echo(t, n.Host(fmt.Sprintf("s%d", i)), fmt.Sprintf("s%d", i), &bad, &last)
+			defer s.Close()
+		}
+		p := xport.DefaultParams
+		p.Idle = time.Second
+		h := xport.NewHub(n.Host("c"), p, nil)
+		defer h.Close()
+		var wg sync.WaitGroup
+		for i := range peers {
+			wg.Go(func() {
+				for range 200 {
+					// Right about when the connection is let go.
+					time.Sleep(time.Second + time.Duration(i)*time.Microsecond)
+					if _, err := h.Call(t.Context(), fmt.Sprintf("s%d", i), []byte("x")); err != nil {
+						t.Errorf("s%d: %v", i, err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
--- a/xport/serve.go
+++ b/xport/serve.go
@@ -91,7 +91,7 @@
 		return
 	}
 	go writeAll(c, out, ctx.Done(), end)
-	r := bufio.NewReaderSize(c, 64<<10)
+	r := bufio.NewReaderSize(c, readBuffer)
 	for {
 		f, err := readFrame(r, s.p.MaxFrame)
 		if err != nil {
@@ -99,7 +99,7 @@
 				s.bad(err)
 				// A neighbour of another version is told before it is let go.
 				if n == code.WireVersion {
-					_ = writeFrame(c, frame{kind: kindAlien})
+					_, _ = c.Write(headOf(nil, frame{kind: kindAlien}))
 				}
 			}
 			end(err)
