Programs stay where their prompts are held; new ones go by shared part and busyness

The purse, read with each turn anyway, now names the runner that the program ran on last; it is kept to while it is not much busier than the middle. A new program goes to the least busy of the three runners of this zone that its first shared part points to.

--- a/kit/sim/mend_test.go
+++ b/kit/sim/mend_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"damsontiller/kit/judge"
 	"damsontiller/kit/sim"
 	"damsontiller/proto/spec"
 	"damsontiller/xport/code"
@@ -317,3 +320,134 @@
 		kept(t, s, "a", turns)
 	})
 }
+
+// TestMendChaos wipes, replaces, adds and retires machines at random under traffic,
+// one at a time, and reads back at the end what was promised.
+func TestMendChaos(t *testing.T) {
+	t.Parallel()
+	seeds, first := number("SIM_SEEDS", 3), number("SIM_FIRST", 500)
+	for i := range seeds {
+		seed := first + i
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				s, err := sim.New(sim.Params{Deploy: "../../deploy/andina", Seed: uint64(seed), Edges: 6, Up: true, Found: true, Log: os.Getenv("SIMLOG") != ""})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := s.Start(ctx); err != nil {
+					t.Fatal(err)
+				}
+				traffic := make(chan struct{})
+				go func() { defer close(traffic); s.Crowd.Run(ctx, 60*time.Second, 1) }()
+				time.Sleep(time.Second)
+				mendChaos(t, ctx, s, rand.New(rand.NewPCG(uint64(seed), 17)))
+				<-traffic
+				s.Audit(ctx, 200)
+				stop()
+				s.Stop()
+				v, _ := s.Judge()
+				// How late an urgent answer may be while a store is gone is not the matter
+				// here.
+				delete(v, judge.Urgent)
+				if v.Total() > 0 {
+					t.Errorf("%d breaches\n%s", v.Total(), v)
+				}
+			})
+		})
+	}
+}
+
+func mendChaos(t *testing.T, ctx context.Context, s *sim.Sim, rnd *rand.Rand) {
+	in := map[string][]string{"core": {"c1", "c2", "c3"}, "store": {"s1", "s2", "s3"}}
+	spare := map[string][]string{"core": {"c4", "c5"}, "store": {"s4", "s5"}}
+	var did []string
+	// whole: every machine in use is of its set, as it is, and nothing changes.
+	whole := func() bool {
+		v := s.Realm()
+		for role, set := range map[string][]spec.Machine{"core": v.Realm.Cores, "store": v.Realm.Stores} {
+			for _, id := range in[role] {
+				if !slices.ContainsFunc(set, func(m spec.Machine) bool { return m.ID == id && m.Ident == s.Ident(id) }) {
+					return false
+				}
+			}
+		}
+		return len(v.NextCores)+len(v.NextStores) == 0
+	}
+	pause := func(most int) { time.Sleep(time.Duration(100+rnd.IntN(most)) * time.Millisecond) }
+	for end := time.Now().Add(50 * time.Second); time.Now().Before(end); {
+		role := []string{"core", "store"}[rnd.IntN(2)]
+		i := rnd.IntN(len(in[role]))
+		id := in[role][i]
+		what := rnd.IntN(9)
+		did = append(did, fmt.Sprint(what, " ", id))
+		switch what {
+		case 0, 1: // loses its disk
+			s.Kill(id)
+			s.Wipe(id)
+			pause(3000)
+			launch(t, ctx, s, false, id)
+		case 2: // is away for a while
+			s.Kill(id)
+			pause(5000)
+			launch(t, ctx, s, false, id)
+		case 3:
+			s.Freeze(id)
+			pause(5000)
+			s.Thaw(id)
+		case 4:
+			s.Cut([]string{id}, s.Rest(id), true)
+			pause(5000)
+			s.Cut([]string{id}, s.Rest(id), false)
+		case 5: // is replaced, and comes back all the same
+			if len(spare[role]) == 0 {
+				continue
+			}
+			n := spare[role][0]
+			s.Kill(id)
+			pause(3000)
+			launch(t, ctx, s, false, n)
+			pause(3000)
+			launch(t, ctx, s, false, id)
+			in[role], spare[role] = append(in[role], n), spare[role][1:]
+		case 6: // is replaced for good; its name is free for another machine
+			if len(spare[role]) == 0 {
+				continue
+			}
+			n := spare[role][0]
+			s.Kill(id)
+			s.Wipe(id)
+			pause(3000)
+			launch(t, ctx, s, false, n)
+			in[role][i] = n
+			spare[role] = append(spare[role][1:], id)
+		case 7: // everything loses power, one its disk
+			for _, m := range s.Machines {
+				if !slices.Contains(spare["core"], m.ID) && !slices.Contains(spare["store"], m.ID) && m.ID != "e7" {
+					s.Kill(m.ID)
+				}
+			}
+			s.Wipe(id)
+			pause(2000)
+			s.Note(judge.Hard, judge.Everything+" down, started again", 0)
+			for _, m := range s.Machines {
+				if !slices.Contains(spare["core"], m.ID) && !slices.Contains(spare["store"], m.ID) && m.ID != "e7" {
+					launch(t, ctx, s, false, m.ID)
+				}
+			}
+		case 8:
+			if st, a, err := s.Change(http.MethodPatch, "/v1/spec", map[string]any{"cooldown": map[string]any{"first_ms": 1000 + rnd.IntN(500)}}); err != nil || st != http.StatusOK {
+				t.Errorf("%v: %d %+v %v", did, st, a, err)
+			}
+			continue
+		}
+		if !sim.Until(12*time.Second, whole) {
+			v := s.Realm()
+			t.Fatalf("%v: in use %v, version %d: cores %v next %v, stores %v next %v, used %v", did, in, v.Ver, v.Realm.Cores, v.NextCores, v.Realm.Stores, v.NextStores, v.Used)
+		}
+		pause(1500)
+	}
+	t.Log(did)
+}
--- a/pass/purse/purse.go
+++ b/pass/purse/purse.go
@@ -28,6 +28,8 @@
 	Timed  bool  `json:"timed,omitempty"`
 	// Root is set for a helper, which has no purse of its own.
 	Root string `json:"root,omitempty"`
+	// Home is the runner that last read the program's prompts and may hold them still.
+	Home string `json:"home,omitempty"`
 }
 
 // Time counts down what was left by the age of the last write, and takes a smaller
--- a/pass/raw/job.go
+++ b/pass/raw/job.go
@@ -36,6 +36,11 @@
 	Wait    time.Duration // how long the caller waits; 0: it does not say
 	Ends    time.Duration // until the program should be over; 0: it does not say
 
+	// Home is the runner that the program's last turn ran on, where its purse says so;
+	// Homed, that there is a purse to say it.
+	Home  string
+	Homed bool
+
 	// Cutoff is the earliest of the caller's wait and the path's guard, from arrival.
 	Arrived time.Time
 	Cutoff  time.Time
--- a/pass/raw/load.go
+++ b/pass/raw/load.go
@@ -1,9 +1,11 @@
 package raw
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +24,7 @@
 
 type busy struct {
 	n      int   // jobs of this node under way
+	early  int   // of them, those without a first event: their prompts are to be read
 	tokens int64 // of prompts and outputs
 	// Of the other nodes, as last heard.
 	others      int
@@ -46,14 +49,26 @@
 	return b
 }
 
-// Enter counts a job in, the function given counts it out.
-func (l *Load) Enter(id string, tokens int64) func() {
+// Enter counts a job in; first says that its first event has come, done counts it
+// out.
+func (l *Load) Enter(id string, tokens int64) (first, done func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.of(id)
 	b.n++
+	b.early++
 	b.tokens += tokens
-	return func() {
+	early := true
+	first = func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if early {
+			early = false
+			b.early--
+		}
+	}
+	return first, func() {
+		first()
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		b.n--
@@ -170,14 +185,29 @@
 	List    *roll.List
 	Zone    string // this node's
 	Key     string // jobs of one key go to one runner; empty: to the least busy
-	Tokens  int64  // of prompt and output
+	Home    string // the runner that the job's program ran on last
+	Part    string // what its prompt begins with; empty: nothing shared
 	May     func(*roll.Runner) bool
 	Cold    func(*roll.Runner) bool // it is fresh
 	Shares  func(*roll.Runner) int  // among how many nodes its rate is dealt; 0: this node has no part
 }
 
-// spread is how far above the middle a runner may be and still be kept to.
-const spread = 1.25
+// How far above the middle a runner may be: spread times, for a job that it holds
+// nothing of; for one whose prompts it holds, half as much again or a fifth of its
+// room, for to read them anew elsewhere costs more than a few jobs beside it.
+const (
+	spread = 1.25
+	loyal  = 1.5
+	fond   = 0.2
+)
+
+// near is how many runners a shared part points to: so many read it, and the least
+// busy of them is elected.
+const near = 3
+
+// unread is what a job whose prompt is still to be read weighs beside one that puts
+// out.
+const unread = 3
 
 type cand struct {
 	r    *roll.Runner
@@ -210,11 +240,25 @@
 	if len(cs) == 0 {
 		return nil, false
 	}
-	bound := sum/float64(len(cs))*spread + 1/float64(max(cs[0].r.Room, 1))
+	mean := sum / float64(len(cs))
+	bound := mean*spread + 1/float64(max(cs[0].r.Room, 1))
+	kept := max(mean*loyal, mean+fond)
+	for i := range cs {
+		if c := &cs[i]; c.r.ID == a.Home && !c.cold && c.f <= kept && c.f < 1 {
+			return c.r, true
+		}
+	}
+	if a.Part != "" {
+		for _, home := range []bool{true, false} {
+			if c := l.parted(a, cs, home, bound); c != nil {
+				return c.r, c.f < 1
+			}
+		}
+	}
 	if a.Key != "" {
 		// Own zone first: a prefix is not read twice, nor sent between zones.
 		for _, home := range []bool{true, false} {
-			if c := l.keyed(a, cs, home, bound); c != nil {
+			if c := l.keyed(a, cs, home, kept); c != nil {
 				return c.r, c.f < 1
 			}
 		}
@@ -252,6 +296,35 @@
 	return best
 }
 
+// parted finds the least busy of the few runners that a shared part points to.
+func (l *Load) parted(a Ask, cs []cand, home bool, bound float64) *cand {
+	type at struct {
+		c *cand
+		h uint64
+	}
+	var top []at
+	for i := range cs {
+		c := &cs[i]
+		if (c.r.Zone == a.Zone) != home || c.f > bound || c.f >= 1 || c.cold {
+			continue
+		}
+		top = append(top, at{c, weigh(a.Part, c.r.ID)})
+	}
+	slices.SortFunc(top, func(a, b at) int { return cmp.Compare(b.h, a.h) })
+	var best *cand
+	for _, t := range top[:min(near, len(top))] {
+		if best == nil || t.c.weight() < best.weight() {
+			best = t.c
+		}
+	}
+	return best
+}
+
+// weight is a runner's busyness in the eyes of a new program.
+func (c *cand) weight() float64 {
+	return c.f + float64((unread-1)*c.b.early)/float64(max(c.r.Room, 1))
+}
+
 // least finds the least busy; of equals one of this zone, then any.
 func (l *Load) least(a Ask, cs []cand) *cand {
 	for len(cs) > 0 {
--- a/pass/raw/out.go
+++ b/pass/raw/out.go
@@ -51,6 +51,8 @@
 	collect bool
 	text    bytes.Buffer
 	events  int
+	ran     string // the runner whose answer is passed on
+	first   func() // called at the first event
 	wrote   bool   // more than the head
 	last    string // id of the last event passed on; empty: it has none
 }
@@ -170,7 +172,9 @@
 		}
 	}
 	if some {
-		o.events++
+		if o.events++; o.events == 1 && o.first != nil {
+			o.first()
+		}
 		if !named {
 			o.last = ""
 		}
--- a/pass/raw/purse.go
+++ b/pass/raw/purse.go
@@ -22,8 +22,14 @@
 	p   PurseParams
 	bg  job.Bg
 	mu  sync.Mutex
-	due map[string]map[string]int64 // settlements not yet written, by program and try
-	at  [64]chan struct{}           // changes of one program from this node take turns; each holds a token
+	due map[string]map[string]settlement // not yet written, by program and try
+	at  [64]chan struct{}                // changes of one program from this node take turns; each holds a token
+}
+
+// settlement is what a turn put out, and where.
+type settlement struct {
+	spent int64
+	home  string // empty: it says nothing
 }
 
 // PurseParams are the times of budgets.
@@ -38,7 +44,7 @@
 
 // NewPurses makes the keeper of budgets.
 func NewPurses(p PurseParams, t *tier.Tier, bg job.Bg) *Purses {
-	c := &Purses{t: t, p: p, bg: bg, due: map[string]map[string]int64{}}
+	c := &Purses{t: t, p: p, bg: bg, due: map[string]map[string]settlement{}}
 	for i := range c.at {
 		c.at[i] = make(chan struct{}, 1)
 		c.at[i] <- struct{}{}
@@ -60,26 +66,29 @@
 }
 
 // change makes f's change of a program's purse together with the settlements due.
-func (p *Purses) change(ctx context.Context, program string, f func(*purse.Value) error) error {
+func (p *Purses) change(ctx context.Context, program string, f func(*purse.Value) error) (purse.Value, error) {
 	// Nobody waits for his turn longer than for the change itself.
 	l := p.at[weigh(program, "")%uint64(len(p.at))]
 	if !loop.Until(ctx, l) {
-		return code.New(code.TierAway, "other changes of budgets are under way: %w", ctx.Err())
+		return purse.Value{}, code.New(code.TierAway, "other changes of budgets are under way: %w", ctx.Err())
 	}
 	defer func() { l <- struct{}{} }()
 	p.mu.Lock()
-	due := map[string]int64{}
+	due := map[string]settlement{}
 	for k, n := range p.due[program] {
 		due[k] = n
 	}
 	p.mu.Unlock()
-	_, err := p.t.Change(ctx, purseKey(program), func(st reg.State) ([]byte, bool, error) {
+	st, err := p.t.Change(ctx, purseKey(program), func(st reg.State) ([]byte, bool, error) {
 		v, err := readPurse(st)
 		if err != nil {
 			return nil, false, err
 		}
 		for id, n := range due {
-			v.Settle(id, n)
+			v.Settle(id, n.spent)
+			if n.home != "" {
+				v.Home = n.home
+			}
 		}
 		if err := f(&v); err != nil {
 			return nil, false, err
@@ -88,7 +97,7 @@
 		return b, false, err
 	})
 	if err != nil {
-		return err
+		return purse.Value{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -98,13 +107,13 @@
 	if len(p.due[program]) == 0 {
 		delete(p.due, program)
 	}
-	return nil
+	return readPurse(st)
 }
 
 // Reserve sets the most that a job may put out aside, or says that the budget
 // does not hold it.
 func (p *Purses) Reserve(ctx context.Context, j *Job) error {
-	return p.change(ctx, j.Program, func(v *purse.Value) error {
+	v, err := p.change(ctx, j.Program, func(v *purse.Value) error {
 		if _, ok := v.Open[j.Try]; ok {
 			return nil
 		}
@@ -113,16 +122,20 @@
 		}
 		return v.Reserve(j.Try, j.Most, j.Budget)
 	})
+	if err == nil {
+		j.Home, j.Homed = v.Home, true
+	}
+	return err
 }
 
 // Settle writes down what a turn put out, with the program's next turn or soon.
-func (p *Purses) Settle(program, try string, spent int64) {
+func (p *Purses) Settle(program, try string, spent int64, home string) {
 	p.mu.Lock()
 	first := p.due[program] == nil
 	if first {
-		p.due[program] = map[string]int64{}
+		p.due[program] = map[string]settlement{}
 	}
-	p.due[program][try] = spent
+	p.due[program][try] = settlement{spent, home}
 	p.mu.Unlock()
 	if !first {
 		return
@@ -140,7 +153,7 @@
 				return
 			}
 			ctx, stop := context.WithTimeout(context.WithoutCancel(p.bg.Ctx), p.p.Write)
-			err := p.change(ctx, program, func(*purse.Value) error { return nil })
+			_, err := p.change(ctx, program, func(*purse.Value) error { return nil })
 			stop()
 			if err != nil && !loop.Wait(p.bg.Ctx, 250*time.Millisecond) {
 				return
@@ -160,13 +173,13 @@
 	switch {
 	case code.Of(err) == code.OutcomeUnknown:
 		// Perhaps it is reserved; nothing was sent, so it is handed back.
-		p.Settle(j.Program, j.Try, 0)
+		p.Settle(j.Program, j.Try, 0, "")
 		return Refuse(code.New(code.TierAway, "the budget could not be reserved: %w", err), 200*time.Millisecond)
 	case err != nil:
 		return Refuse(err, 200*time.Millisecond)
 	}
 	a := next(j, w)
 	// What the caller was handed, whatever became of the rest.
-	p.Settle(j.Program, j.Try, int64(w.Events())*j.perEvent())
+	p.Settle(j.Program, j.Try, int64(w.Events())*j.perEvent(), w.ran)
 	return a
 }
--- a/pass/raw/raw_test.go
+++ b/pass/raw/raw_test.go
@@ -422,7 +422,8 @@
 				t.Fatal("no room")
 			}
 			seen[r.ID]++
-			done = append(done, l.Enter(r.ID, 0))
+			_, out := l.Enter(r.ID, 0)
+			done = append(done, out)
 		}
 		for id, n := range seen {
 			if n > 8 {
--- a/pass/raw/send.go
+++ b/pass/raw/send.go
@@ -90,14 +90,18 @@
 func (d *Door) elect(j *Job, tried map[string]bool) (*roll.Runner, bool) {
 	v := d.pt.View()
 	l := d.pt.Roll.Now()
-	k := ""
+	k, part := "", ""
 	switch {
+	case j.Service.Engine != nil && j.Homed:
+		if len(j.Parts) > 0 {
+			part = j.Parts[0].ID
+		}
 	case j.Service.Engine != nil && j.Program != "":
 		k = j.Program
 	case j.Path.Affine:
 		k = j.Subject
 	}
-	return d.pt.Load.Elect(Ask{Service: j.Service, List: l, Zone: d.pt.Self.Zone, Key: k, Tokens: j.In + j.Most,
+	return d.pt.Load.Elect(Ask{Service: j.Service, List: l, Zone: d.pt.Self.Zone, Key: k, Home: j.Home, Part: part,
 		May: func(r *roll.Runner) bool {
 			return !tried[r.ID] && !v.Spec.Empty(r.Zone) && (d.pt.Cool.Calm() || d.pt.Cool.Open(coolKey(r)))
 		},
@@ -293,8 +297,9 @@
 }
 
 func (d *Door) send(j *Job, w *Out, r *roll.Runner, in *cool.Pass) sending {
-	done := d.pt.Load.Enter(r.ID, j.In+j.Most)
+	first, done := d.pt.Load.Enter(r.ID, j.In+j.Most)
 	defer func() { done(); d.free.tell() }()
+	w.first = first
 	defer in.Leave()
 	ctx, stop := context.WithDeadline(j, j.Cutoff)
 	defer stop()
@@ -358,6 +363,7 @@
 	}
 	if res.StatusCode/100 == 2 {
 		in.Good()
+		w.ran = r.ID
 	}
 	if res.StatusCode/100 == 2 && (!word.Sealed || word.Try == "") {
 		return sending{sent: true, err: code.New(code.NotWhole, "a success from %s without its mark", r.ID)}
--- a/xport/xport_test.go
+++ b/xport/xport_test.go
@@ -193,3 +193,42 @@
 		}
 	})
 }
+
+// TestDrop: a connection on which nothing has been heard for a while can be let go, so
+// that the next call dials anew; one that is in use is left alone.
+func TestDrop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(1)
+		var bad atomic.Int64
+		var last atomic.Value
+		s := echo(t, n.Host("s"), "s", &bad, &last)
+		defer s.Close()
+		dials := 0
+		host := n.Host("c")
+		dial := host.Dial
+		host.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			dials++
+			return dial(ctx, addr)
+		}
+		h := xport.NewHub(host, xport.DefaultParams, &xport.Cuts{})
+		defer h.Close()
+		call := func() {
+			if b, err := h.Call(t.Context(), "s", []byte("x")); err != nil || string(b) != "x" {
+				t.Errorf("%q %v", b, err)
+			}
+		}
+		h.Drop("s", time.Second) // there is none
+		call()
+		h.Drop("s", time.Second)
+		call()
+		if dials != 1 {
+			t.Errorf("%d dials while it is in use", dials)
+		}
+		time.Sleep(2 * time.Second)
+		h.Drop("s", time.Second)
+		call()
+		if dials != 2 {
+			t.Errorf("%d dials after it was let go", dials)
+		}
+	})
+}
