--- a/coord/tier/tier.go
+++ b/coord/tier/tier.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sort"
 	"time"
 
 	"damsontiller/coord/peer"
@@ -245,87 +244,3 @@
 	}
 	return nil, code.New(code.TierAway, "get %s: %w", key, last)
 }
-
-// Keys gathers the keys of a kind that a majority of a set's machines hold,
-// which is every key that was ever written whole.
-func (t *Tier) Keys(ctx context.Context, group []reg.Replica, kind wire.List_Kind) ([]string, error) {
-	seen := map[string]bool{}
-	ok := 0
-	var last error
-	for _, r := range group {
-		keys, err := t.list(ctx, r, kind)
-		if err != nil {
-			last = err
-			continue
-		}
-		ok++
-		for _, k := range keys {
-			seen[k] = true
-		}
-	}
-	if ok*2 <= len(group) {
-		return nil, code.New(code.TierAway, "keys of %d of %d machines: %w", ok, len(group), last)
-	}
-	out := make([]string, 0, len(seen))
-	for k := range seen {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out, nil
-}
-
-func (t *Tier) list(ctx context.Context, r reg.Replica, kind wire.List_Kind) ([]string, error) {
-	var out []string
-	after := ""
-	for {
-		a, err := t.Peer.CallFor(ctx, 2*time.Second, r.Addr, &wire.Req{Ident: r.Ident, Op: &wire.Req_List{List: &wire.List{Kind: kind, After: after, Limit: 1000}}})
-		if err != nil {
-			return nil, err
-		}
-		rows := a.GetRows().GetRows()
-		for _, row := range rows {
-			out = append(out, row.Key)
-		}
-		if len(rows) < 1000 {
-			return out, nil
-		}
-		after = rows[len(rows)-1].Key
-	}
-}
-
-// MendBlob brings a turn to every store of the last group, for the longest
-// time that any copy still has.
-func (t *Tier) MendBlob(ctx context.Context, key string) error {
-	s, err := holders(t.Realm.Now(), key)
-	if err != nil {
-		return err
-	}
-	ctx, stop := context.WithTimeout(ctx, 2*time.Second)
-	defer stop()
-	var best *wire.Got
-	ch, n := t.ask(ctx, s, func() *wire.Req { return &wire.Req{Op: &wire.Req_Get{Get: &wire.Get{Key: key}}} })
-	for range n {
-		g := <-ch
-		if g.err == nil && g.g.GetState() == wire.Got_HERE && (best == nil || g.g.KeepMs-g.g.AgeMs > best.KeepMs-best.AgeMs) {
-			best = g.g
-		}
-	}
-	if best == nil || best.KeepMs <= best.AgeMs {
-		// Past its time everywhere that answered: nothing to bring.
-		return nil
-	}
-	whole := reg.Set{s[len(s)-1]}
-	ch, n = t.ask(ctx, whole, func() *wire.Req {
-		return &wire.Req{Op: &wire.Req_Put{Put: &wire.Put{Key: key, Val: best.Val, KeepMs: best.KeepMs - best.AgeMs}}}
-	})
-	var last error
-	for range n {
-		if g := <-ch; g.err != nil {
-			last = g.err
-		}
-	}
-	if last != nil {
-		return code.New(code.TierAway, "mend %s: %w", key, last)
-	}
-	return nil
-}
--- a/kit/sim/mend_test.go
+++ b/kit/sim/mend_test.go
@@ -423,6 +423,8 @@
 			launch(t, ctx, s, false, n)
 			in[role][i] = n
 			spare[role] = append(spare[role][1:], id)
+			// The operator's list names who is there.
+			s.Seeds(in["core"][:3]...)
 		case 7: // everything loses power, one its disk
 			for _, m := range s.Machines {
 				if !slices.Contains(spare["core"], m.ID) && !slices.Contains(spare["store"], m.ID) && m.ID != "e7" {
--- a/kit/sim/sim.go
+++ b/kit/sim/sim.go
@@ -85,6 +85,7 @@
 	lic     licence.Params
 	alone   bool
 	found   bool
+	seeds   []string // of machines started from now on; none: the first cores
 	point   func(string, job.Point, *job.Ctx)
 	made    func(string, *edge.Edge)
 	// away is when a machine was last out of the others' reach. What it has in
@@ -267,6 +268,9 @@
 	for _, c := range s.cores {
 		np.Seeds = append(np.Seeds, c.Addr)
 	}
+	if len(s.seeds) > 0 {
+		np.Seeds = s.seeds
+	}
 	var v *vault.Vault
 	if m.Role != "edge" {
 		var err error
@@ -574,6 +578,14 @@
 	return &realm.View{}
 }
 
+// Seeds names other machines as seeds of those that are started from now on.
+func (s *Sim) Seeds(ids ...string) {
+	s.seeds = nil
+	for _, id := range ids {
+		s.seeds = append(s.seeds, s.Get(id).Addr)
+	}
+}
+
 // Ident is the identity that a running machine has.
 func (s *Sim) Ident(id string) string {
 	s.mu.Lock()
