--- a/pass/raw/job.go
+++ b/pass/raw/job.go
@@ -13,6 +13,10 @@
 	"damsontiller/proto/spec"
 )
 
+// MaxName bounds the names of tries and programs, which become keys at the stores:
+// a turn whose name could not be kept must not run.
+const MaxName = 256
+
 // Part is a piece of a prompt that several jobs may share.
 type Part struct {
 	ID     string
