Failure detection by what runners do: outcomes of all edges, outliers put aside with a bound

Cause: a runner that fails part of its jobs under a good health answer, or turns slow, was only kept away from where it could not be reached. The tally's words now carry outcomes and pace by runner; the one that counts puts outliers aside against the middle of their service, never more than a share, tries them again gently, and leaves all in place where most show the same rate. No decision rests on health answers, and none is asked for.

--- a/kit/backend/backend.go
+++ b/kit/backend/backend.go
@@ -42,6 +42,14 @@
 	Faults    = int(NoDial)
 )
 
+// The troubles that last until another is set, by number.
+const (
+	SlowBy Fault = NoDial + 1 + iota // 16: takes so many times as long
+	Grey                             // 17: fails a share of its jobs, by a 500 of its own and by a cut in turns; its health answer is good
+	Lies                             // 18: fails all jobs (1) or none (0), and its health answer says the reverse
+	Flaps                            // 19: down and up by turns, a period of so many seconds, down first
+)
+
 // Names are the headers that a stand-in speaks.
 type Names struct{ Try, Seal, NotRun, Target string }
 
@@ -82,6 +90,8 @@
 	Events int           // of a stream
 	Before int           // events before fault 10
 	Pace   time.Duration // between events
+	Work   time.Duration // until the first byte
+	Health string        // path of the health answer; empty: it has none
 	Chunks bool          // whole answers come in chunks
 	NoEnd  bool          // answers say nowhere where they end: they end with the connection
 	// Streams tells whether a request is answered by events.
@@ -115,7 +125,14 @@
 	runs  []Run
 	conns map[net.Conn]bool
 	made  int
+	asked int // for its health
 	wg    sync.WaitGroup
+
+	trouble Fault
+	x       float64
+	since   time.Time
+	share   float64 // of a job that is due to fail
+	cut     bool    // the last that failed was cut
 }
 
 // New makes a stand-in and lets it listen.
@@ -154,7 +171,7 @@
 
 // Dial connects to it, or is refused where that is the next fault.
 func (b *Backend) Dial(ctx context.Context) (net.Conn, error) {
-	if b.P.Plan.take(true) == NoDial {
+	if b.P.Plan.take(true) == NoDial || b.down() {
 		return nil, refused(b.P.Addr)
 	}
 	return b.ln.Dial(ctx)
@@ -163,6 +180,70 @@
 // Next sets the faults of the next jobs, in order.
 func (b *Backend) Next(fs ...Fault) { b.P.Plan.Set(fs...) }
 
+// Trouble sets what it has from now on, None for nothing.
+func (b *Backend) Trouble(f Fault, x float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.trouble, b.x, b.since, b.share = f, x, time.Now(), 0
+	if f == Flaps {
+		for c := range b.conns {
+			c.Close()
+		}
+	}
+}
+
+// down tells whether it flaps and is down.
+func (b *Backend) down() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := time.Duration(b.x * float64(time.Second))
+	return b.trouble == Flaps && time.Since(b.since)%p < p/2
+}
+
+// lasting is the fault that its trouble brings about for one job, and how many times
+// as long it takes.
+func (b *Backend) lasting() (Fault, float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch b.trouble {
+	case SlowBy:
+		return None, b.x
+	case Grey:
+		if b.share += b.x; b.share >= 1 {
+			b.share--
+			if b.cut = !b.cut; b.cut {
+				return Cut, 1
+			}
+			return Own500, 1
+		}
+	case Lies:
+		if b.x > 0 {
+			return Own500, 1
+		}
+	}
+	return None, 1
+}
+
+// health answers whoever asks for it.
+func (b *Backend) health(c net.Conn) {
+	b.mu.Lock()
+	b.asked++
+	good := b.trouble != Lies || b.x > 0
+	b.mu.Unlock()
+	a := answer{http.StatusOK, http.Header{}}
+	if !good {
+		a.status = http.StatusServiceUnavailable
+	}
+	a.whole(c, "")
+}
+
+// Asked counts the questions for its health.
+func (b *Backend) Asked() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.asked
+}
+
 // Runs lists what ran.
 func (b *Backend) Runs() []Run {
 	b.mu.Lock()
@@ -262,8 +343,19 @@
 // job answers one job; it tells whether the connection goes on.
 func (b *Backend) job(c net.Conn, br *bufio.Reader, q *http.Request, body []byte) bool {
 	p := &b.P
+	if p.Health != "" && q.RequestURI == p.Health {
+		b.health(c)
+		return true
+	}
+	if b.down() {
+		return false
+	}
 	try := q.Header.Get(p.Try)
 	f := p.Plan.take(false)
+	times := 1.0
+	if f == None {
+		f, times = b.lasting()
+	}
 	b.mu.Lock()
 	b.came[try]++
 	b.mu.Unlock()
@@ -290,6 +382,12 @@
 	b.runs = append(b.runs, Run{time.Now(), p.ID, try, q.Method, q.RequestURI, q.Host, q.Header, string(body), seal})
 	b.mu.Unlock()
 	a.head.Set(p.Seal, seal)
+	if p.Work > 0 {
+		time.Sleep(time.Duration(times * float64(p.Work)))
+		if b.down() {
+			return false
+		}
+	}
 	switch f {
 	case LoseWord:
 		return false
@@ -317,7 +415,7 @@
 	}
 	on := false
 	if p.Streams(q) {
-		on = b.stream(c, q, a, try, f)
+		on = b.stream(c, q, a, try, f, times)
 	} else {
 		on = b.whole(c, a, Whole(p.ID, try, p.Bytes), f)
 	}
@@ -353,7 +451,7 @@
 	return err == nil
 }
 
-func (b *Backend) stream(c net.Conn, q *http.Request, a answer, try string, f Fault) bool {
+func (b *Backend) stream(c net.Conn, q *http.Request, a answer, try string, f Fault, times float64) bool {
 	p := &b.P
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	a.head.Set("Content-Type", "text/event-stream")
@@ -370,7 +468,7 @@
 			return false
 		}
 		if p.Pace > 0 {
-			time.Sleep(p.Pace)
+			time.Sleep(time.Duration(times * float64(p.Pace)))
 		}
 		if p.Passed != nil {
 			p.Passed(try, i)
--- a/pass/edge/raw.go
+++ b/pass/edge/raw.go
@@ -61,6 +61,7 @@
 	loop.Every(ctx, time.Second, nil, func(context.Context) {
 		on := func(id string) bool { return r.Roll.Now().Get(id) != nil }
 		r.load.Sweep(on)
+		r.load.Watch.Sweep(on)
 		r.pool.Sweep(on)
 	})
 }
--- /dev/null
+++ b/pass/outlier/detector.go
@@ -0,0 +1,391 @@
+package outlier
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"damsontiller/pass/roll"
+)
+
+// A window is some slots long; counts older than the longest are base rate.
+const (
+	slot  = 500 * time.Millisecond
+	slots = 20
+)
+
+// windows that are judged: a short one sees a runner that fails all at once, a long
+// one that fails now and then.
+var windows = [...]int{slots, 6, 2}
+
+// carry is the part of an even trouble seen in a longer window that is expected in a
+// shorter one, where a few problems more or less are chance.
+const carry = 0.3
+
+// Detector decides for all edges.
+type Detector struct {
+	p    Params
+	born time.Time
+
+	mu       sync.Mutex
+	runners  map[string]*track
+	services map[string]*base
+	edges    map[string]time.Time // heard lately
+	decided  time.Time
+	ejected  int
+	slow     map[string]float64
+}
+
+// base is what is normal at a service: what its runners, less the ejected ones, did
+// before the longest window.
+type base struct {
+	ended, problems float64
+	at              time.Time
+}
+
+// forget is how long the normal is remembered.
+const forget = time.Minute
+
+func (b *base) rate() float64 { return min((b.problems+1)/(b.ended+2000), 0.01) }
+
+func (b *base) fade(now time.Time) {
+	if d := now.Sub(b.at); d > 0 {
+		f := math.Exp(-float64(d) / float64(forget))
+		b.ended, b.problems, b.at = b.ended*f, b.problems*f, now
+	}
+}
+
+type track struct {
+	ring [slots]Count
+	at   int64 // the slot that is written
+	// The two edges that last saw a problem: one edge alone may have a bad link.
+	by   [2]string
+	when [2]time.Time
+	out  *ejection
+}
+
+type ejection struct {
+	rate   float64 // of problems when it was ejected
+	fails  int     // trials that failed since
+	good   int     // trials without a problem since
+	next   time.Time
+	trials []time.Time // under way, by when they were given out
+}
+
+// NewDetector makes a detector that has heard nothing.
+func NewDetector(p Params) *Detector {
+	return &Detector{p: p, runners: map[string]*track{}, services: map[string]*base{}, edges: map[string]time.Time{}}
+}
+
+// Tell takes what an edge has counted since it last told.
+func (d *Detector) Tell(edge string, cs map[string]Count, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.edges[edge] = now
+	for id, c := range cs {
+		t := d.of(id, now)
+		if t.out != nil {
+			if d.trial(t.out, c, now); t.out.good >= d.p.Back {
+				// It begins anew.
+				*t = track{at: t.at}
+				d.ejected--
+			}
+			continue
+		}
+		t.move(now, nil)
+		t.ring[t.at%slots].add(c)
+		if c.Problems > 0 {
+			if t.by[0] != edge {
+				t.by[1], t.when[1] = t.by[0], t.when[0]
+			}
+			t.by[0], t.when[0] = edge, now
+		}
+	}
+}
+
+func (d *Detector) of(id string, now time.Time) *track {
+	t := d.runners[id]
+	if t == nil {
+		t = &track{at: at(now)}
+		d.runners[id] = t
+	}
+	return t
+}
+
+func at(now time.Time) int64 { return now.UnixNano() / int64(slot) }
+
+// move begins the slot of now; what leaves the longest window goes to the base.
+func (t *track) move(now time.Time, b *base) {
+	for n := min(at(now)-t.at, slots); n > 0; n-- {
+		t.at = at(now) - n + 1
+		c := &t.ring[t.at%slots]
+		if b != nil {
+			b.ended += float64(c.Ended)
+			b.problems += float64(c.Problems)
+		}
+		*c = Count{}
+	}
+}
+
+func (t *track) sum(n int) Count {
+	var c Count
+	for i := range int64(n) {
+		if t.at >= i {
+			c.add(t.ring[(t.at-i)%slots])
+		}
+	}
+	return c
+}
+
+// trial takes what came of jobs at an ejected runner: the trials, and what was under
+// way there when it was ejected.
+func (d *Detector) trial(e *ejection, c Count, now time.Time) {
+	tried := len(e.trials) > 0
+	e.trials = e.trials[min(c.Ended, len(e.trials)):]
+	switch {
+	case c.Problems > 0 && (tried || now.After(e.next)):
+		e.fails++
+		e.good, e.trials = 0, nil
+		e.next = now.Add(d.wait(e))
+	case c.Problems == 0 && tried:
+		e.good += c.Ended
+	}
+}
+
+func (d *Detector) wait(e *ejection) time.Duration {
+	return min(d.p.Retry<<min(e.fails, 10), d.p.Most)
+}
+
+// Adopt goes on from the verdict of whoever counted before.
+func (d *Detector) Adopt(ids []string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Sub(d.decided) < d.p.Hold {
+		return
+	}
+	for _, id := range ids {
+		if t := d.of(id, now); t.out == nil {
+			t.out = &ejection{next: now.Add(d.p.Retry)}
+		}
+	}
+}
+
+// Decide judges all runners on the list, where some time has passed since it last
+// did. UnderWay is how many jobs each has.
+func (d *Detector) Decide(l *roll.List, underWay func() map[string]int, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Sub(d.decided) < d.p.Decide {
+		return
+	}
+	d.decided = now
+	load := underWay()
+	for e, at := range d.edges {
+		if now.Sub(at) > d.p.Hold {
+			delete(d.edges, e)
+		}
+	}
+	for id := range d.runners {
+		if l.Get(id) == nil {
+			delete(d.runners, id)
+		}
+	}
+	byService := map[string][]*roll.Runner{}
+	for i := range l.All {
+		if r := &l.All[i]; !r.Leaving {
+			byService[r.Service] = append(byService[r.Service], r)
+		}
+	}
+	d.slow, d.ejected = nil, 0
+	for name, rs := range byService {
+		b := d.services[name]
+		if b == nil {
+			b = &base{at: now}
+			d.services[name] = b
+		}
+		b.fade(now)
+		ts := make([]*track, len(rs))
+		for i, r := range rs {
+			ts[i] = d.of(r.ID, now)
+			ts[i].move(now, b)
+		}
+		d.eject(rs, ts, b, load, now)
+		d.lag(rs, ts)
+	}
+}
+
+// suspect is a runner that is surely one that fails often.
+type suspect struct {
+	i    int
+	rate float64
+}
+
+func (d *Detector) eject(rs []*roll.Runner, ts []*track, b *base, load map[string]int, now time.Time) {
+	var out []suspect
+	room, busy := 0.0, 0.0
+	for i, t := range ts {
+		busy += float64(load[rs[i].ID])
+		if t.out == nil {
+			room += float64(max(rs[i].Room, 1))
+		} else {
+			out = append(out, suspect{i, t.out.rate})
+		}
+	}
+	most := min(max(int(d.p.Share*float64(len(rs))), 1), len(rs)-1)
+	// Where runners have gone or load has come, the least bad ones are needed.
+	slices.SortFunc(out, func(a, b suspect) int { return cmp.Compare(a.rate, b.rate) })
+	for len(out) > 0 && (len(out) > most || room < busy*d.p.Spare) {
+		t := ts[out[0].i]
+		room += float64(max(rs[out[0].i].Room, 1))
+		*t = track{at: t.at}
+		out = out[1:]
+	}
+	for _, s := range d.suspects(ts, b, now) {
+		left := room - float64(max(rs[s.i].Room, 1))
+		if len(out) >= most || left < busy*d.p.Spare {
+			break
+		}
+		room = left
+		out = append(out, s)
+		ts[s.i].out = &ejection{rate: s.rate, next: now.Add(d.p.Retry)}
+		// What the trials bring begins a new record.
+		ts[s.i].ring = [slots]Count{}
+	}
+	d.ejected += len(out)
+}
+
+// suspects finds the runners to eject, the worst first.
+func (d *Detector) suspects(ts []*track, b *base, now time.Time) []suspect {
+	all := map[int]float64{}
+	pri := prior
+	for _, w := range windows {
+		var cs []Count
+		var at []int
+		bad, gone := false, 0
+		for i, t := range ts {
+			if t.out != nil {
+				gone++
+				continue
+			}
+			if c := t.sum(w); c.Ended > 0 {
+				cs, at = append(cs, c), append(at, i)
+				bad = bad || c.Problems > 1
+			}
+		}
+		// On an ordinary day nothing is reckoned.
+		if !bad {
+			continue
+		}
+		sure, like := mixture(cs, b.rate(), pri)
+		for i := 1; i < grey; i++ {
+			pri[i] = prior[i] + carry*like[i]
+		}
+		sum := float64(gone)
+		for _, s := range sure {
+			sum += s
+		}
+		if sum > float64(len(cs)+gone)/2 && len(cs)+gone > 2 {
+			// Most are alike: it is the service's trouble, and no runner's.
+			continue
+		}
+		for k, c := range cs {
+			if sure[k] >= d.p.Sure && tail(c.Ended, c.Problems, b.rate()) < d.p.Chance && d.seen(ts[at[k]], now) {
+				all[at[k]] = max(all[at[k]], float64(c.Problems)/float64(c.Ended))
+			}
+		}
+	}
+	var out []suspect
+	for i, r := range all {
+		out = append(out, suspect{i, r})
+	}
+	slices.SortFunc(out, func(a, b suspect) int { return cmp.Or(cmp.Compare(b.rate, a.rate), cmp.Compare(a.i, b.i)) })
+	return out
+}
+
+// seen tells whether two edges saw problems, where there are two.
+func (d *Detector) seen(t *track, now time.Time) bool {
+	return len(d.edges) < 2 || t.by[1] != "" && now.Sub(t.when[1]) < slots*slot
+}
+
+// far is how many times as far from the middle as most runners are one must be; least
+// is how far they are at the least.
+const (
+	far   = 4
+	least = 0.1
+)
+
+// lag finds the slow runners of a service: farther behind the middle than chance has
+// it.
+func (d *Detector) lag(rs []*roll.Runner, ts []*track) {
+	for _, w := range windows[:2] {
+		var cs []Count
+		var means, paced []float64
+		var at []int
+		for i, t := range ts {
+			if c := t.sum(w); c.Paced >= 3 {
+				cs, at = append(cs, c), append(at, i)
+				paced = append(paced, float64(c.Paced))
+				means = append(means, c.Pace/float64(c.Paced))
+			}
+		}
+		if len(means) < 3 {
+			continue
+		}
+		sorted := slices.Clone(means)
+		mid := median(sorted)
+		for i := range sorted {
+			sorted[i] = math.Abs(means[i] - mid)
+		}
+		stray := max(1.48*median(sorted), least)
+		jobs := median(paced)
+		for k, m := range means {
+			over := m - mid
+			// The mean of fewer jobs strays farther.
+			if over < math.Log(d.p.Lag) || over < far*stray*max(1, math.Sqrt(jobs/float64(cs[k].Paced))) {
+				continue
+			}
+			if d.slow == nil {
+				d.slow = map[string]float64{}
+			}
+			id := rs[at[k]].ID
+			d.slow[id] = max(d.slow[id], math.Exp(over))
+		}
+	}
+}
+
+// median sorts xs.
+func median(xs []float64) float64 {
+	slices.Sort(xs)
+	return (xs[len(xs)/2] + xs[(len(xs)-1)/2]) / 2
+}
+
+// Verdict is what an edge is to hear. It may hold trials, which are the edge's own.
+func (d *Detector) Verdict(now time.Time) Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := Verdict{Slow: d.slow}
+	if d.ejected == 0 {
+		return v
+	}
+	for id, t := range d.runners {
+		if e := t.out; e != nil {
+			v.Ejected = append(v.Ejected, Ejected{ID: id, Trial: d.give(e, now)})
+		}
+	}
+	return v
+}
+
+// give tells whether an edge may try an ejected runner: one job at a time, and twice
+// as many after each round without a problem.
+func (d *Detector) give(e *ejection, now time.Time) bool {
+	for len(e.trials) > 0 && now.Sub(e.trials[0]) > d.p.Result {
+		e.trials = e.trials[1:]
+	}
+	if now.Before(e.next) || len(e.trials) > e.good {
+		return false
+	}
+	e.trials = append(e.trials, now)
+	return true
+}
--- /dev/null
+++ b/pass/outlier/outlier.go
@@ -0,0 +1,137 @@
+// Package outlier finds runners that fail or lag by what becomes of jobs at them
+// (outlier detection), never by what they say of themselves. Each edge sees too few
+// jobs at one runner to tell, so a Watch counts what it saw and a Detector, at the
+// edge that counts for all, sums the counts up, compares each runner with the others
+// of its service and ejects the outliers for a while. Every edge hears the verdict.
+package outlier
+
+import (
+	"math"
+	"time"
+)
+
+// Count is what came of jobs at one runner.
+type Count struct {
+	Ended    int
+	Problems int // of them; only those that are the runner's
+	// Paced are jobs whose pace was taken, Pace the sum of its logarithms: of the time
+	// that a job took, in times of what is typical of its path.
+	Paced int
+	Pace  float64
+}
+
+func (c *Count) add(o Count) {
+	c.Ended += o.Ended
+	c.Problems += o.Problems
+	c.Paced += o.Paced
+	c.Pace += o.Pace
+}
+
+// Verdict is what edges are to do about the outliers.
+type Verdict struct {
+	Ejected []Ejected
+	Slow    map[string]float64 // how many times slower than the middle of its service
+}
+
+// Ejected is a runner that gets no jobs, but for a trial.
+type Ejected struct {
+	ID    string
+	Trial bool // whoever hears this may send it one job
+}
+
+// Params are the settings of a detector and a watch.
+type Params struct {
+	Share   float64       // of a service's runners that may be ejected; one always
+	Spare   float64       // times the load that the room of those left must be
+	Chance  float64       // that a healthy runner looks so bad in one window
+	Sure    float64       // that it is one that fails often, and not part of an even trouble
+	Retry   time.Duration // until the first trial of an ejected runner; doubled while it fails
+	Most    time.Duration // until any further trial
+	Trial   time.Duration // how long an edge may put off a trial
+	Result  time.Duration // after which a trial without a result is given to another edge
+	Back    int           // trials without a problem that bring it back
+	Decide  time.Duration // between two decisions
+	Lag     float64       // times the middle of its service's pace from which a runner is slow
+	Suspect time.Duration // how long an edge by itself keeps away from a runner after one problem
+	Hold    time.Duration // how long a verdict stands where no other is heard
+	Hang    time.Duration // the least silence that is a problem of the runner
+}
+
+// DefaultParams are the design's.
+var DefaultParams = Params{Share: 0.3, Spare: 1.25, Chance: 1e-7, Sure: 0.9, Retry: time.Second, Most: 3 * time.Second, Trial: time.Second, Result: 2500 * time.Millisecond,
+	Back: 7, Decide: 200 * time.Millisecond, Lag: 2, Suspect: 500 * time.Millisecond, Hold: 3 * time.Second, Hang: time.Second}
+
+// tail is the chance of k or more of n, each with chance p.
+func tail(n, k int, p float64) float64 {
+	if k <= 0 {
+		return 1
+	}
+	if k > n || p <= 0 {
+		return 0
+	}
+	a, _ := math.Lgamma(float64(n + 1))
+	b, _ := math.Lgamma(float64(k + 1))
+	c, _ := math.Lgamma(float64(n - k + 1))
+	t := math.Exp(a - b - c + float64(k)*math.Log(p) + float64(n-k)*math.Log1p(-p))
+	sum := t
+	for i := k; i < n && t > sum*1e-9; i++ {
+		t *= float64(n-i) / float64(i+1) * p / (1 - p)
+		sum += t
+	}
+	return min(sum, 1)
+}
+
+// The rates of problems that a runner may have, beside that of a healthy one: low
+// ones are those of a trouble that many share (an answer lost now and then), from
+// grey on it is better to leave the runner.
+var rates = [...]float64{0, 0.02, 0.06, 0.2, 0.35, 0.65, 0.97}
+
+const grey = 3
+
+// prior is how many runners count for each rate before any was seen.
+var prior = [...]float64{1, 0.2, 0.2, 0.1, 0.1, 0.1, 0.1}
+
+// mixture tells of each runner how surely its rate is one from grey on, and how many
+// runners it takes for each rate; pri is how many count for it beforehand. How common
+// each rate is, is found from all runners together (expectation maximisation): so
+// three problems say much where no other runner has any, and little where most
+// have one.
+func mixture(cs []Count, healthy float64, pri [len(rates)]float64) ([]float64, [len(rates)]float64) {
+	const n = len(rates)
+	like := make([][n]float64, len(cs))
+	for i, c := range cs {
+		top := math.Inf(-1)
+		var l [n]float64
+		for j, r := range rates {
+			if j == 0 {
+				r = healthy
+			}
+			l[j] = float64(c.Problems)*math.Log(r) + float64(c.Ended-c.Problems)*math.Log1p(-r)
+			top = max(top, l[j])
+		}
+		for j := range l {
+			like[i][j] = math.Exp(l[j] - top)
+		}
+	}
+	w := pri
+	out := make([]float64, len(cs))
+	for range 15 {
+		next := pri
+		for i := range like {
+			sum, bad := 0.0, 0.0
+			for j := range w {
+				sum += w[j] * like[i][j]
+			}
+			for j := range w {
+				p := w[j] * like[i][j] / sum
+				next[j] += p
+				if j >= grey {
+					bad += p
+				}
+			}
+			out[i] = bad
+		}
+		w = next
+	}
+	return out, w
+}
--- /dev/null
+++ b/pass/outlier/watch.go
@@ -0,0 +1,263 @@
+package outlier
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Watch is what one edge saw of the runners, and what it heard of them.
+type Watch struct {
+	p Params
+
+	mu      sync.Mutex
+	counts  map[string]Count // not told yet
+	own     map[string]*own
+	typical map[string]*typical // by path
+	ejected map[string]bool
+	trials  map[string]time.Time // may be tried until
+	slow    map[string]float64
+	heard   time.Time
+}
+
+// own is what this edge saw of one runner.
+type own struct {
+	row   int // problems in a row
+	until time.Time
+	last  time.Time
+}
+
+// NewWatch makes a watch that saw nothing.
+func NewWatch(p Params) *Watch {
+	return &Watch{p: p, counts: map[string]Count{}, own: map[string]*own{}, typical: map[string]*typical{}, ejected: map[string]bool{}, trials: map[string]time.Time{}}
+}
+
+// Took is how long a job took: until its first byte, and between its events where it
+// has some.
+type Took struct {
+	Path           string
+	First, Between time.Duration
+}
+
+// Good counts a job that ended as it should.
+func (w *Watch) Good(id string, t Took) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.counts[id]
+	c.Ended++
+	if x, ok := w.pace(t); ok {
+		c.Paced++
+		c.Pace += x
+	}
+	w.counts[id] = c
+	delete(w.own, id)
+}
+
+// Problem counts a job that the runner failed.
+func (w *Watch) Problem(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.counts[id]
+	c.Ended++
+	c.Problems++
+	w.counts[id] = c
+	o := w.own[id]
+	if o == nil {
+		o = &own{}
+		w.own[id] = o
+	}
+	o.row++
+	o.last = time.Now()
+	o.until = o.last.Add(min(w.p.Suspect<<min(o.row-1, 10), w.p.Most))
+}
+
+// Hung tells whether a silence is the runner's: one much longer than is typical.
+func (w *Watch) Hung(path string, silent time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.typical[path]
+	return t != nil && t.n >= enough && silent >= w.p.Hang && silent.Seconds() > 8*math.Exp(t.first.mid)
+}
+
+// Doubt is how much this edge doubts a runner.
+type Doubt int
+
+// The doubts.
+const (
+	None  Doubt = iota
+	Once        // one problem just now
+	Often       // several in a row
+	Out         // ejected, by the word of all
+)
+
+// Doubt tells how much a runner is to be kept away from. What may be repeated may
+// go there again earlier, and finds out.
+func (w *Watch) Doubt(id string, repeatable bool) Doubt {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.ejected) > 0 && w.ejected[id] && time.Since(w.heard) < w.p.Hold {
+		return Out
+	}
+	o := w.own[id]
+	if o == nil {
+		return None
+	}
+	left := time.Until(o.until)
+	if repeatable {
+		left -= o.until.Sub(o.last) / 2
+	}
+	switch {
+	case left <= 0:
+		return None
+	case o.row == 1:
+		return Once
+	}
+	return Often
+}
+
+// Trial tells whether this edge is to try an ejected runner; eager is a job that
+// suits, others wait for a quarter of the time. It is then tried.
+func (w *Watch) Trial(id string, eager bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	until, ok := w.trials[id]
+	if !ok {
+		return false
+	}
+	left := time.Until(until)
+	if left > 0 && !eager && left > w.p.Trial*3/4 {
+		return false
+	}
+	delete(w.trials, id)
+	return left > 0
+}
+
+// Slow is how many times slower than the others a runner is; 1 where it is not.
+func (w *Watch) Slow(id string) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.slow) == 0 || time.Since(w.heard) > w.p.Hold {
+		return 1
+	}
+	return max(w.slow[id], 1)
+}
+
+// Hear takes a verdict.
+func (w *Watch) Hear(v Verdict) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heard = time.Now()
+	clear(w.ejected)
+	for _, e := range v.Ejected {
+		w.ejected[e.ID] = true
+		if e.Trial {
+			w.trials[e.ID] = w.heard.Add(w.p.Trial)
+		}
+	}
+	for id := range w.trials {
+		if !w.ejected[id] {
+			delete(w.trials, id)
+		}
+	}
+	w.slow = v.Slow
+}
+
+// Ejected lists whom the last verdict ejected.
+func (w *Watch) Ejected() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	if time.Since(w.heard) < w.p.Hold {
+		for id := range w.ejected {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Take gives what was counted since it was last called.
+func (w *Watch) Take() map[string]Count {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.counts) == 0 {
+		return nil
+	}
+	out := w.counts
+	w.counts = map[string]Count{}
+	return out
+}
+
+// Return gives back what could not be told.
+func (w *Watch) Return(cs map[string]Count) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, c := range cs {
+		c.add(w.counts[id])
+		w.counts[id] = c
+	}
+}
+
+// Sweep forgets runners that are not on the list any more.
+func (w *Watch) Sweep(on func(id string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id := range w.own {
+		if !on(id) {
+			delete(w.own, id)
+		}
+	}
+	for id := range w.counts {
+		if !on(id) {
+			delete(w.counts, id)
+		}
+	}
+}
+
+// typical is what is usual of a path on this edge.
+type typical struct {
+	first, between middle
+	n              int
+}
+
+// enough jobs make a path's middle known.
+const enough = 8
+
+// middle follows the median of logarithms.
+type middle struct {
+	mid float64
+	n   int
+}
+
+// take gives how far a time is from the middle so far, which it moves.
+func (m *middle) take(d time.Duration) float64 {
+	x := math.Log(max(d.Seconds(), 1e-4))
+	if m.n++; m.n == 1 {
+		m.mid = x
+		return 0
+	}
+	off := x - m.mid
+	m.mid += math.Copysign(min(math.Abs(off), max(1/float64(m.n), 0.04)), off)
+	return off
+}
+
+// stray bounds one job's weight in a runner's pace.
+const stray = 3.5
+
+// pace tells how a job's time is to what is typical of its path: of its first byte
+// and its events whichever is better, for only a runner that is slow is late with both.
+func (w *Watch) pace(t Took) (float64, bool) {
+	if t.Path == "" || t.First <= 0 {
+		return 0, false
+	}
+	m := w.typical[t.Path]
+	if m == nil {
+		m = &typical{}
+		w.typical[t.Path] = m
+	}
+	m.n++
+	x := m.first.take(t.First)
+	if t.Between > 0 {
+		x = min(x, m.between.take(t.Between))
+	}
+	return max(min(x, stray), -stray), m.n > enough
+}
--- a/pass/raw/door.go
+++ b/pass/raw/door.go
@@ -35,6 +35,7 @@
 	Hold   float64       // part of its aim that a job is held for a free place
 	Avoid  time.Duration // how long a runner that could not be reached is kept away from
 	Over   float64       // times its room that a runner may be sent, where all are full
+	Idle   float64       // part of its room under which a runner has no reason to refuse
 	List   time.Duration // how old a reading of the list may be to prove a runner warm
 	Turns  TurnParams
 	Purses PurseParams
@@ -42,7 +43,7 @@
 }
 
 // DefaultParams are the design's.
-var DefaultParams = Params{Body: 4 << 20, Margin: 15 * time.Millisecond, Door: time.Second, Hold: 0.25, Avoid: time.Second, Over: 3, List: 2 * time.Second,
+var DefaultParams = Params{Body: 4 << 20, Margin: 15 * time.Millisecond, Door: time.Second, Hold: 0.25, Avoid: time.Second, Over: 3, Idle: 0.7, List: 2 * time.Second,
 	Turns: DefaultTurns, Purses: DefaultPurses, Pool: DefaultPool}
 
 // Parts are what a door is joined to.
--- a/pass/raw/load.go
+++ b/pass/raw/load.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/time/rate"
 
+	"damsontiller/pass/outlier"
 	"damsontiller/pass/roll"
 	"damsontiller/proto/spec"
 )
@@ -18,6 +19,8 @@
 // Load is the busyness of each runner: what this node has under way, what the
 // others had when last heard, and what to keep away from for a moment.
 type Load struct {
+	Watch *outlier.Watch // of how the runners do
+
 	mu  sync.Mutex
 	all map[string]*busy
 }
@@ -37,7 +40,9 @@
 }
 
 // NewLoad makes a load that knows of nothing.
-func NewLoad() *Load { return &Load{all: map[string]*busy{}} }
+func NewLoad() *Load {
+	return &Load{Watch: outlier.NewWatch(outlier.DefaultParams), all: map[string]*busy{}}
+}
 
 func (l *Load) of(id string) *busy {
 	b := l.all[id]
@@ -99,6 +104,17 @@
 	return l.of(r.ID).full(r, s) < times
 }
 
+// UnderWay is how many jobs each runner has, of all nodes, as far as is known.
+func (l *Load) UnderWay() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]int, len(l.all))
+	for id, b := range l.all {
+		out[id] = b.n + b.others
+	}
+	return out
+}
+
 // Busy is what this node has under way at one runner.
 type Busy struct {
 	N      int
@@ -190,6 +206,8 @@
 	May     func(*roll.Runner) bool
 	Cold    func(*roll.Runner) bool // it is fresh
 	Shares  func(*roll.Runner) int  // among how many nodes its rate is dealt; 0: this node has no part
+	// Repeatable jobs go to a doubtful runner earlier: they can go on elsewhere.
+	Repeatable bool
 }
 
 // How far above the middle a runner may be: spread times, for a job that it holds
@@ -213,6 +231,7 @@
 	r    *roll.Runner
 	b    *busy
 	f    float64 // of its room in use
+	g    float64 // how busy it is in the eyes of one more job: a slow runner is longer at each
 	cold bool
 }
 
@@ -223,8 +242,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	var cs []cand
-	sum := 0.0
+	var cs, doubtful, out []cand
 	for _, r := range a.List.Of(a.Service.Name) {
 		if r.Leaving || !a.May(r) {
 			continue
@@ -234,17 +252,49 @@
 			continue
 		}
 		c := cand{r: r, b: b, f: b.full(r, a.Service), cold: now.Before(b.chill) || a.Cold(r)}
-		cs = append(cs, c)
-		sum += c.f
+		one := 1 / float64(max(r.Room, 1))
+		c.g = (c.f+one)*l.Watch.Slow(r.ID) - one
+		switch l.Watch.Doubt(r.ID, a.Repeatable) {
+		case outlier.Out:
+			// The trial of an ejected runner is best a job that holds nothing anywhere.
+			if c.f < 1 && !c.cold && l.Watch.Trial(r.ID, a.Repeatable && a.Home == "") {
+				return r, true
+			}
+			out = append(out, c)
+		case outlier.Once:
+			// One problem is not worth to read a program's prompts anew.
+			if r.ID == a.Home {
+				cs = append(cs, c)
+			} else {
+				doubtful = append(doubtful, c)
+			}
+		case outlier.Often:
+			doubtful = append(doubtful, c)
+		default:
+			cs = append(cs, c)
+		}
+	}
+	// Where this node doubts many, the fault is rather its own; and where nobody else
+	// has a place, a doubtful runner is better than none.
+	n, free := len(cs)+len(doubtful), slices.ContainsFunc(cs, func(c cand) bool { return c.f < 1 })
+	if 10*len(doubtful) > 3*n && n > 3 || !free {
+		cs = append(cs, doubtful...)
+	}
+	if len(cs) == 0 {
+		cs = out
 	}
 	if len(cs) == 0 {
 		return nil, false
 	}
+	sum := 0.0
+	for _, c := range cs {
+		sum += c.f
+	}
 	mean := sum / float64(len(cs))
 	bound := mean*spread + 1/float64(max(cs[0].r.Room, 1))
 	kept := max(mean*loyal, mean+fond)
 	for i := range cs {
-		if c := &cs[i]; c.r.ID == a.Home && !c.cold && c.f <= kept && c.f < 1 {
+		if c := &cs[i]; c.r.ID == a.Home && !c.cold && c.g <= kept && c.f < 1 {
 			return c.r, true
 		}
 	}
@@ -286,7 +336,7 @@
 	var top uint64
 	for i := range cs {
 		c := &cs[i]
-		if (c.r.Zone == a.Zone) != home || c.f > bound || c.f >= 1 || c.cold {
+		if (c.r.Zone == a.Zone) != home || c.g > bound || c.f >= 1 || c.cold {
 			continue
 		}
 		if h := weigh(a.Key, c.r.ID); best == nil || h > top {
@@ -305,7 +355,7 @@
 	var top []at
 	for i := range cs {
 		c := &cs[i]
-		if (c.r.Zone == a.Zone) != home || c.f > bound || c.f >= 1 || c.cold {
+		if (c.r.Zone == a.Zone) != home || c.g > bound || c.f >= 1 || c.cold {
 			continue
 		}
 		top = append(top, at{c, weigh(a.Part, c.r.ID)})
@@ -322,7 +372,7 @@
 
 // weight is a runner's busyness in the eyes of a new program.
 func (c *cand) weight() float64 {
-	return c.f + float64((unread-1)*c.b.early)/float64(max(c.r.Room, 1))
+	return c.g + float64((unread-1)*c.b.early)/float64(max(c.r.Room, 1))
 }
 
 // least finds the least busy; of equals one of this zone, then any.
@@ -331,7 +381,7 @@
 		best, n := -1, 0
 		top := 0.0
 		for i := range cs {
-			f := cs[i].f
+			f := cs[i].g
 			if cs[i].r.Zone != a.Zone {
 				f += 0.5 / float64(max(cs[i].r.Room, 1))
 			}
--- a/pass/raw/out.go
+++ b/pass/raw/out.go
@@ -51,10 +51,11 @@
 	collect bool
 	text    bytes.Buffer
 	events  int
-	ran     string // the runner whose answer is passed on
-	first   func() // called at the first event
-	wrote   bool   // more than the head
-	last    string // id of the last event passed on; empty: it has none
+	ran     string    // the runner whose answer is passed on
+	first   func()    // called at the first event
+	wrote   bool      // more than the head
+	moved   time.Time // when the job was sent or the last event came
+	last    string    // id of the last event passed on; empty: it has none
 }
 
 // Begun tells whether the caller has seen the head.
@@ -172,6 +173,7 @@
 		}
 	}
 	if some {
+		o.moved = time.Now()
 		if o.events++; o.events == 1 && o.first != nil {
 			o.first()
 		}
--- a/pass/raw/send.go
+++ b/pass/raw/send.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"damsontiller/pass/cool"
+	"damsontiller/pass/outlier"
 	"damsontiller/pass/roll"
 	"damsontiller/proto/spec"
 	"damsontiller/xport/code"
@@ -118,7 +119,8 @@
 			s := d.zone.see(v.Spec.EmptyZones, r.Zone)
 			return !s.IsZero() && l.At.Before(s.Add(d.p.List)) && time.Since(s) < time.Duration(j.Service.ColdMs)*time.Millisecond+d.p.List
 		},
-		Shares: func(r *roll.Runner) int { return d.shares(r, j.Service.ColdRate) },
+		Shares:     func(r *roll.Runner) int { return d.shares(r, j.Service.ColdRate) },
+		Repeatable: j.Repeatable(),
 	})
 }
 
@@ -299,7 +301,13 @@
 func (d *Door) send(j *Job, w *Out, r *roll.Runner, in *cool.Pass) sending {
 	first, done := d.pt.Load.Enter(r.ID, j.In+j.Most)
 	defer func() { done(); d.free.tell() }()
-	w.first = first
+	// A stream that goes on has its first event behind it.
+	fresh, events := !w.begun, w.events
+	var sent, began time.Time
+	w.first = func() {
+		began = time.Now()
+		first()
+	}
 	defer in.Leave()
 	ctx, stop := context.WithDeadline(j, j.Cutoff)
 	defer stop()
@@ -308,6 +316,7 @@
 		// Nothing went out. It may be gone, or have too many connections.
 		if ctx.Err() == nil {
 			d.pt.Load.Avoid(r.ID, d.p.Avoid)
+			d.pt.Load.Watch.Problem(r.ID)
 		}
 		return sending{notRun: true, wait: 150 * time.Millisecond, err: code.New(code.NoRunner, "runner %s can't be reached: %w", r.ID, err)}
 	}
@@ -333,8 +342,10 @@
 	if !in.Stands(j, j.Left()) {
 		return sending{notRun: true, wait: d.pt.Cool.Seen(coolKey(r)), err: code.New(code.Cooling, "runner %s cools down", r.ID)}
 	}
+	sent = time.Now()
+	w.moved = sent
 	if err := write(c.c, q); err != nil {
-		return d.lost(j, r, c, err)
+		return d.lost(j, w, r, c, err)
 	}
 	var word Word
 	res, surplus, err := c.answer(q, func(x *http.Response) bool {
@@ -342,7 +353,7 @@
 		return word.Try == "" || word.Try == j.Try
 	})
 	if err != nil {
-		return d.lost(j, r, c, err)
+		return d.lost(j, w, r, c, err)
 	}
 	// The body is not closed: that would read it to its end, and who is done with an
 	// answer early is done with its connection.
@@ -365,6 +376,11 @@
 		in.Good()
 		w.ran = r.ID
 	}
+	if d.ill(j, w, res, word) {
+		d.pt.Load.Watch.Problem(r.ID)
+	} else if res.StatusCode/100 != 2 {
+		d.pt.Load.Watch.Good(r.ID, outlier.Took{})
+	}
 	if res.StatusCode/100 == 2 && (!word.Sealed || word.Try == "") {
 		return sending{sent: true, err: code.New(code.NotWhole, "a success from %s without its mark", r.ID)}
 	}
@@ -387,13 +403,24 @@
 		if errors.Is(err, errCaller) {
 			return sending{sent: true, err: code.New(code.OutcomeUnknown, "%w", err)}
 		}
-		return d.lost(j, r, c, err)
+		return d.lost(j, w, r, c, err)
 	}
 	if !surplus && undo() {
 		clean = true
 		d.pt.Pool.put(r, c, d.pt.Pool.rest(res))
 	}
 	if res.StatusCode/100 == 2 {
+		t := outlier.Took{Path: j.Path.Name}
+		switch n := w.events - events; {
+		case began.IsZero() && fresh:
+			t.First = time.Since(sent)
+		case fresh:
+			t.First = began.Sub(sent)
+			if n > 2 {
+				t.Between = w.moved.Sub(began) / time.Duration(n-1)
+			}
+		}
+		d.pt.Load.Watch.Good(r.ID, t)
 		return sending{good: true, sent: true}
 	}
 	return sending{told: true, sent: true}
@@ -452,8 +479,27 @@
 	return err
 }
 
+// ill tells whether an answer is one that a runner in order does not give.
+func (d *Door) ill(j *Job, w *Out, res *http.Response, word Word) bool {
+	switch s := res.StatusCode; {
+	case s/100 == 2:
+		return !word.Sealed || word.Try == "" || !proven(res)
+	case j.View.Spec.Cooldown.Refusal(s):
+		return false
+	case s == http.StatusGatewayTimeout:
+		// The time was over: whose fault that is tells how long it took.
+		return d.pt.Load.Watch.Hung(j.Path.Name, time.Since(w.moved))
+	default:
+		return s/100 == 5 || promise[s]
+	}
+}
+
 // lost sorts out a send without a whole answer: it may have run.
-func (d *Door) lost(j *Job, r *roll.Runner, c *conn, err error) sending {
+func (d *Door) lost(j *Job, w *Out, r *roll.Runner, c *conn, err error) sending {
+	if ended := j.Err() == nil && !broken(err); ended || d.pt.Load.Watch.Hung(j.Path.Name, time.Since(w.moved)) {
+		// Who hears nothing for very long hears it from a runner that hangs.
+		d.pt.Load.Watch.Problem(r.ID)
+	}
 	if j.Err() == nil && !broken(err) {
 		// A reset may be a runner that goes; a timeout is the job's own.
 		d.pt.Load.Avoid(r.ID, d.p.Avoid/4)
@@ -480,6 +526,10 @@
 		x.wait = d.pt.Cool.Refused(j, coolKey(r), cool.RetryAfter(res.Header))
 		x.err = code.New(code.RunnerDrop, "runner %s refused with status %d", r.ID, res.StatusCode)
 	default:
+		if word.Cold == 0 && r.ColdMs == 0 && d.pt.Load.Under(r, j.Service, d.p.Idle) {
+			// It has room and refuses all the same.
+			d.pt.Load.Watch.Problem(r.ID)
+		}
 		d.pt.Load.Avoid(r.ID, d.p.Avoid/20)
 		x.err = code.New(code.NoRunner, "runner %s refused with status %d", r.ID, res.StatusCode)
 	}
--- a/pass/tally/tally.go
+++ b/pass/tally/tally.go
@@ -10,11 +10,13 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
+	"math"
 	"sync"
 	"time"
 
 	"damsontiller/coord/duty"
 	"damsontiller/coord/node"
+	"damsontiller/pass/outlier"
 	"damsontiller/pass/raw"
 	"damsontiller/pass/roll"
 	"damsontiller/proto/wire"
@@ -44,6 +46,7 @@
 	roll *roll.Roll
 	load *raw.Load
 	list List
+	out  *outlier.Detector
 
 	mu    sync.Mutex
 	heard map[string]word // by edge
@@ -59,7 +62,7 @@
 
 // New makes a tally; list may be set until Run.
 func New(p Params, n *node.Node, r *roll.Roll, l *raw.Load) *Tally {
-	t := &Tally{p: p, n: n, roll: r, load: l, heard: map[string]word{}}
+	t := &Tally{p: p, n: n, roll: r, load: l, out: outlier.NewDetector(outlier.DefaultParams), heard: map[string]word{}}
 	n.Peer.On(&wire.Req_Tally{}, t.answer)
 	return t
 }
@@ -73,11 +76,13 @@
 }
 
 func (t *Tally) step(ctx context.Context) {
-	own := t.own()
+	counts := t.load.Watch.Take()
+	own := t.own(counts)
 	for _, m := range duty.Order(t.n.Realm.Now(), t.n.Lic.Members()) {
 		if m.Id == t.n.Peer.Self.Id {
 			// This edge is the first that answers: it counts.
 			t.load.Hear(t.others(m.Id))
+			t.load.Watch.Hear(t.judge(m.Id, counts))
 			t.fresh(ctx, t.p.Read)
 			return
 		}
@@ -86,17 +91,38 @@
 			return
 		}
 	}
+	t.load.Watch.Return(counts)
 	t.fresh(ctx, t.p.Stale)
 }
 
-func (t *Tally) own() []*wire.Busy {
+func (t *Tally) own(counts map[string]outlier.Count) []*wire.Busy {
 	var out []*wire.Busy
-	for id, b := range t.load.Own() {
-		out = append(out, &wire.Busy{Runner: id, Jobs: int32(b.N), Tokens: b.Tokens})
+	busy := t.load.Own()
+	for id, b := range busy {
+		out = append(out, counted(&wire.Busy{Runner: id, Jobs: int32(b.N), Tokens: b.Tokens}, counts[id]))
+	}
+	for id, c := range counts {
+		if _, ok := busy[id]; !ok {
+			out = append(out, counted(&wire.Busy{Runner: id}, c))
+		}
 	}
 	return out
 }
 
+func counted(b *wire.Busy, c outlier.Count) *wire.Busy {
+	b.Ended, b.Problems, b.Paced, b.Pace = int32(c.Ended), int32(c.Problems), int32(c.Paced), int32(math.Round(100*c.Pace))
+	return b
+}
+
+// judge takes what an edge has counted, and tells it of the outliers.
+func (t *Tally) judge(edge string, counts map[string]outlier.Count) outlier.Verdict {
+	now := time.Now()
+	t.out.Adopt(t.load.Watch.Ejected(), now)
+	t.out.Tell(edge, counts, now)
+	t.out.Decide(t.roll.Now(), t.load.UnderWay, now)
+	return t.out.Verdict(now)
+}
+
 // ask tells the one that counts, and hears.
 func (t *Tally) ask(ctx context.Context, addr string, own []*wire.Busy) bool {
 	t.mu.Lock()
@@ -109,6 +135,16 @@
 	}
 	a := r.GetTally()
 	t.load.Hear(busy(a.GetOthers()))
+	v := outlier.Verdict{Slow: map[string]float64{}}
+	for _, o := range a.GetOutliers() {
+		if o.Ejected {
+			v.Ejected = append(v.Ejected, outlier.Ejected{ID: o.Runner, Trial: o.Trial})
+		}
+		if o.Slow > 0 {
+			v.Slow[o.Runner] = float64(o.Slow) / 100
+		}
+	}
+	t.load.Watch.Hear(v)
 	if a.GetRollAgeMs() < 0 {
 		return true
 	}
@@ -195,6 +231,9 @@
 			continue
 		}
 		for _, b := range w.own {
+			if b.Jobs == 0 {
+				continue
+			}
 			o := out[b.Runner]
 			out[b.Runner] = raw.Busy{N: o.N + int(b.Jobs), Tokens: o.Tokens + b.Tokens}
 		}
@@ -218,7 +257,20 @@
 	t.mu.Lock()
 	t.heard[q.Id] = word{time.Now(), q.GetTally().GetOwn()}
 	t.mu.Unlock()
+	counts := map[string]outlier.Count{}
+	for _, b := range q.GetTally().GetOwn() {
+		if b.Ended > 0 {
+			counts[b.Runner] = outlier.Count{Ended: int(b.Ended), Problems: int(b.Problems), Paced: int(b.Paced), Pace: float64(b.Pace) / 100}
+		}
+	}
 	a := &wire.TallyAck{RollAgeMs: -1}
+	v := t.judge(q.Id, counts)
+	for _, e := range v.Ejected {
+		a.Outliers = append(a.Outliers, &wire.Outlier{Runner: e.ID, Ejected: true, Trial: e.Trial})
+	}
+	for id, x := range v.Slow {
+		a.Outliers = append(a.Outliers, &wire.Outlier{Runner: id, Slow: int32(100 * x)})
+	}
 	o := t.others(q.Id)
 	// Its own is not kept: it is known at the moment.
 	for id, b := range t.load.Own() {
