--- /dev/null
+++ b/kit/sim/tally_test.go
@@ -0,0 +1,161 @@
+package sim_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damsontiller/kit/sim"
+	"damsontiller/pass/edge"
+	"damsontiller/pass/raw"
+	"damsontiller/pass/roll"
+	"damsontiller/pass/tally"
+)
+
+// clerk is an edge's tally with what it rests on.
+type clerk struct {
+	t     *tally.Tally
+	roll  *roll.Roll
+	load  *raw.Load
+	reads int
+}
+
+// tallied runs a fleet whose every edge has a tally over one list of runners.
+func tallied(t *testing.T, do func(ctx context.Context, s *sim.Sim, cs map[string]*clerk, list *[]roll.Runner, fail *bool)) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		cs := map[string]*clerk{}
+		list := []roll.Runner{{ID: "i-1", Service: "m", Addr: "127.0.0.1:1", Zone: "a", Room: 4}, {ID: "i-2", Service: "m", Addr: "127.0.0.1:2", Zone: "b", Room: 4, ColdMs: 2300}}
+		fail := false
+		s, err := sim.New(sim.Params{Deploy: "../../deploy/andina", Seed: 3, Edges: 3, Edge: func(id string, e *edge.Edge) {
+			c := &clerk{roll: roll.New(), load: raw.NewLoad()}
+			c.t = tally.New(tally.DefaultParams, e.Node, c.roll, c.load)
+			mu.Lock()
+			cs[id] = c
+			mu.Unlock()
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		if err := s.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+		tctx, tstop := context.WithCancel(ctx)
+		var wg sync.WaitGroup
+		for _, c := range cs {
+			wg.Go(func() {
+				c.t.Run(tctx, func(context.Context) ([]roll.Runner, error) {
+					mu.Lock()
+					defer mu.Unlock()
+					c.reads++
+					if fail {
+						return nil, errors.New("the list does not come")
+					}
+					return append([]roll.Runner(nil), list...), nil
+				})
+			})
+		}
+		time.Sleep(3 * time.Second)
+		do(ctx, s, cs, &list, &fail)
+		tstop()
+		wg.Wait()
+		stop()
+		s.Stop()
+	})
+}
+
+// TestTally: one edge reads the list for all, each hears what the others have under
+// way, and a change of the list is everywhere within the time that draining leaves.
+func TestTally(t *testing.T) {
+	tallied(t, func(_ context.Context, _ *sim.Sim, cs map[string]*clerk, list *[]roll.Runner, _ *bool) {
+		readers := 0
+		for id, c := range cs {
+			if c.reads > 2 {
+				readers++
+			}
+			if len(c.roll.Now().All) != 2 {
+				t.Errorf("%s has %d runners", id, len(c.roll.Now().All))
+			}
+			// A fresh runner is never taken for warm sooner than it says.
+			if r := c.roll.Now().Get("i-2"); r == nil || time.Duration(r.ColdMs)*time.Millisecond < 2300*time.Millisecond {
+				t.Errorf("%s: fresh for %+v", id, r)
+			}
+		}
+		if readers != 1 {
+			t.Errorf("%d edges read the list all the time, want 1", readers)
+		}
+		_, out := cs["e2"].load.Enter("i-1", 10)
+		_, out2 := cs["e3"].load.Enter("i-1", 5)
+		time.Sleep(600 * time.Millisecond)
+		for id, want := range map[string]int{"e1": 2, "e2": 2, "e3": 2} {
+			if n := cs[id].load.UnderWay()["i-1"]; n != want {
+				t.Errorf("%s counts %d jobs, want %d", id, n, want)
+			}
+		}
+		out()
+		out2()
+		(*list)[0].Leaving = true
+		time.Sleep(1500 * time.Millisecond)
+		for id, c := range cs {
+			if !c.roll.Now().Get("i-1").Leaving {
+				t.Errorf("%s does not know after 1.5 s that the runner leaves", id)
+			}
+			if n := c.load.UnderWay()["i-1"]; n != 0 {
+				t.Errorf("%s still counts %d jobs", id, n)
+			}
+		}
+	})
+}
+
+// TestTallyAlone: an edge that reaches nobody reads the list itself, before what it
+// has is older than draining allows; so do all where the one that counts is gone.
+func TestTallyAlone(t *testing.T) {
+	tallied(t, func(_ context.Context, s *sim.Sim, cs map[string]*clerk, _ *[]roll.Runner, _ *bool) {
+		before := cs["e3"].reads
+		s.Cut([]string{"e3"}, s.Rest("e3"), true)
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			if age := time.Since(cs["e3"].roll.Now().At); age > 2800*time.Millisecond {
+				t.Fatalf("its list is %s old", age)
+			}
+		}
+		if cs["e3"].reads == before {
+			t.Error("cut off, it never read the list")
+		}
+		s.Cut([]string{"e3"}, s.Rest("e3"), false)
+		s.Freeze("e1")
+		defer s.Thaw("e1")
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			for _, id := range []string{"e2", "e3"} {
+				if age := time.Since(cs[id].roll.Now().At); age > 2800*time.Millisecond {
+					t.Fatalf("%s: its list is %s old with the counter frozen", id, age)
+				}
+			}
+		}
+	})
+}
+
+// TestTallyNoList: while the list does not come, everybody keeps the one he has.
+func TestTallyNoList(t *testing.T) {
+	tallied(t, func(_ context.Context, _ *sim.Sim, cs map[string]*clerk, _ *[]roll.Runner, fail *bool) {
+		*fail = true
+		time.Sleep(10 * time.Second)
+		for id, c := range cs {
+			if len(c.roll.Now().All) != 2 {
+				t.Errorf("%s has %d runners left", id, len(c.roll.Now().All))
+			}
+		}
+		*fail = false
+		time.Sleep(2 * time.Second)
+		for id, c := range cs {
+			if age := time.Since(c.roll.Now().At); age > 2*time.Second {
+				t.Errorf("%s: its list is %s old", id, age)
+			}
+		}
+	})
+}
