--- a/internal/coordination/broadcast/broadcast.go
+++ b/internal/coordination/broadcast/broadcast.go
@@ -99,7 +99,7 @@
 			continue
 		}
 		if f := broadcaster.handlers[i.Topic]; f != nil {
-			if err := f(i); err != nil {
+			if err := handle(f, i); err != nil {
 				broadcaster.peer.Log.Warn("update not applied", "topic", i.Topic, "key", i.Key, "err", err)
 				all = false
 				continue
@@ -120,6 +120,34 @@
 	return all
 }
 
+// handle gives an item to its handler as it was published.
+func handle(f func(*wire.Item) error, i *wire.Item) error {
+	if len(i.CompressedBody) == 0 {
+		return f(i)
+	}
+	body, err := wire.Decompress(i.CompressedBody)
+	if err != nil {
+		return err
+	}
+	return f(&wire.Item{Topic: i.Topic, Key: i.Key, Epoch: i.Epoch, Seq: i.Seq, Brief: i.Brief, Body: body})
+}
+
+// compress puts large bodies into the form in which they are sent and kept. A node of a
+// release that does not know it confirms no such item and gets it from its source.
+func compress(items []*wire.Item) []*wire.Item {
+	out := make([]*wire.Item, len(items))
+	for n, i := range items {
+		out[n] = i
+		if len(i.Body) >= wire.CompressAbove {
+			out[n] = &wire.Item{
+				Topic: i.Topic, Key: i.Key, Epoch: i.Epoch, Seq: i.Seq, Brief: i.Brief,
+				CompressedBody: wire.Compress(i.Body),
+			}
+		}
+	}
+	return out
+}
+
 // Head is the newest item received of a topic and key.
 func (broadcaster *Broadcaster) Head(topic, key string) *wire.Item {
 	broadcaster.mu.Lock()
@@ -131,6 +159,7 @@
 // ids of those known to have applied them.
 func (broadcaster *Broadcaster) Publish(ctx context.Context, items ...*wire.Item) []string {
 	var accepted []string
+	items = compress(items)
 	if broadcaster.Apply(items) {
 		accepted = append(accepted, broadcaster.peer.Self.Id)
 	}
--- a/internal/coordination/cluster/cluster.go
+++ b/internal/coordination/cluster/cluster.go
@@ -13,6 +13,7 @@
 
 	"damsontiller/internal/proto/register"
 	"damsontiller/internal/proto/spec"
+	"damsontiller/internal/proto/wire"
 	"damsontiller/internal/transport/code"
 	"damsontiller/internal/transport/loop"
 )
@@ -32,7 +33,8 @@
 	// CoresVersion is the same for the sets of cores.
 	CoresVersion uint64
 	spec.Cluster
-	raw []byte
+	raw        []byte
+	compressed func() []byte
 }
 
 // Copies is how many stores hold each key.
@@ -49,6 +51,9 @@
 // Raw is the register's value.
 func (v *View) Raw() []byte { return v.raw }
 
+// Compressed is the register's value in the form in which it is sent.
+func (v *View) Compressed() []byte { return v.compressed() }
+
 // Cluster holds the version in force in this process. Its methods may be called
 // concurrently.
 type Cluster struct {
@@ -106,7 +111,11 @@
 	if version <= cluster.Now().Version {
 		return nil
 	}
-	v := &View{Version: version, raw: raw}
+	v := &View{
+		Version:    version,
+		raw:        raw,
+		compressed: sync.OnceValue(func() []byte { return wire.Compress(raw) }),
+	}
 	if err := v.UnmarshalJSON(raw); err != nil {
 		return code.New(code.Garbled, "cluster %d: %w", version, err)
 	}
--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -3,7 +3,9 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -69,27 +71,39 @@
 	return n
 }
 
-func (n *Node) hello(context.Context, *wire.Req) (*wire.Resp, error) {
+func (n *Node) hello(_ context.Context, q *wire.Req) (*wire.Resp, error) {
 	v := n.Cluster.Now()
-	return &wire.Resp{
-		Op: &wire.Resp_Hello{
-			Hello: &wire.HelloAck{
-				Self:       n.Peer.Member(v.Version),
-				Formed:     v.Version > 0,
-				Cluster:    v.Raw(),
-				ClusterVer: v.Version,
-			},
-		},
-	}, nil
+	ack := &wire.HelloAck{Self: n.Peer.Member(v.Version), Formed: v.Version > 0, ClusterVer: v.Version}
+	switch {
+	case q.GetHello().GetHead():
+	case q.GetHello().GetAcceptsCompressed() && len(v.Raw()) >= wire.CompressAbove:
+		ack.CompressedCluster = v.Compressed()
+	default:
+		ack.Cluster = v.Raw()
+	}
+	return &wire.Resp{Op: &wire.Resp_Hello{Hello: ack}}, nil
 }
 
+// helloTimeout is how long another process has to say who it is.
+const helloTimeout = 500 * time.Millisecond
+
 // Hello asks another process who it is and what cluster it knows.
 func (n *Node) Hello(ctx context.Context, addr string) (*wire.HelloAck, error) {
-	r, err := n.Peer.CallFor(ctx, 500*time.Millisecond, addr, &wire.Req{Op: &wire.Req_Hello{Hello: &wire.Hello{}}})
+	return n.askHello(ctx, addr, &wire.Hello{AcceptsCompressed: true})
+}
+
+func (n *Node) askHello(ctx context.Context, addr string, q *wire.Hello) (*wire.HelloAck, error) {
+	r, err := n.Peer.CallFor(ctx, helloTimeout, addr, &wire.Req{Op: &wire.Req_Hello{Hello: q}})
 	if err != nil {
 		return nil, err
 	}
-	return r.GetHello(), nil
+	ack := r.GetHello()
+	if len(ack.GetCompressedCluster()) > 0 {
+		if ack.Cluster, err = wire.Decompress(ack.CompressedCluster); err != nil {
+			return nil, err
+		}
+	}
+	return ack, nil
 }
 
 // Go runs a background task until ctx ends. Wait waits for it.
@@ -119,9 +133,41 @@
 	return n.seeds
 }
 
-// askSeeds asks the seeds and the cores known here for the cluster, all at once, and puts
-// the newest in force. It reports whether any of them knew one.
+// seedHead is the version of the cluster that a process at an address has in force.
+type seedHead struct {
+	addr    string
+	version uint64
+}
+
+// askSeeds asks the seeds and the cores known here which version of the cluster they have,
+// all at once, gets the newest from one of them and puts it in force. It reports whether
+// any of them knew one.
 func (n *Node) askSeeds(ctx context.Context) bool {
+	v := n.Cluster.Now()
+	found := false
+	var heads []seedHead
+	for h := range n.seedHeads(ctx) {
+		found = found || h.version > 0
+		if h.version <= v.Version {
+			continue
+		}
+		if v.Version == 0 && n.fetchCluster(ctx, h) {
+			// Good enough to join with: joining reads it at a majority.
+			return true
+		}
+		heads = append(heads, h)
+	}
+	slices.SortStableFunc(heads, func(a, b seedHead) int { return cmp.Compare(b.version, a.version) })
+	for _, h := range heads {
+		if h.version <= n.Cluster.Now().Version || n.fetchCluster(ctx, h) {
+			return true
+		}
+	}
+	return found && v.Version > 0
+}
+
+// seedHeads asks all seeds and cores known here, and gives those answers that come.
+func (n *Node) seedHeads(ctx context.Context) iter.Seq[seedHead] {
 	addrs := slices.Clone(n.Seeds())
 	v := n.Cluster.Now()
 	for _, m := range slices.Concat(v.Cluster.Cores, v.NextCores) {
@@ -129,33 +175,37 @@
 	}
 	slices.Sort(addrs)
 	addrs = slices.DeleteFunc(slices.Compact(addrs), func(a string) bool { return a == n.Peer.Self.Addr })
-	ch := make(chan *wire.HelloAck, len(addrs))
-	for _, a := range addrs {
+	heads := make(chan seedHead, len(addrs))
+	for _, addr := range addrs {
 		go func() {
-			h, err := n.Hello(ctx, a)
-			if err != nil {
-				h = nil
+			ack, err := n.askHello(ctx, addr, &wire.Hello{Head: true})
+			if err != nil || !ack.GetFormed() {
+				heads <- seedHead{addr: addr}
+				return
 			}
-			ch <- h
+			heads <- seedHead{addr, ack.ClusterVer}
 		}()
 	}
-	found := false
-	for range addrs {
-		h := <-ch
-		if !h.GetFormed() {
-			continue
-		}
-		if err := n.Cluster.Apply(h.ClusterVer, h.Cluster); err != nil {
-			n.Log.Warn("cluster of a seed not applied", "err", err)
-			continue
-		}
-		found = true
-		if v.Version == 0 {
-			// Good enough to join with: joining reads it at a majority.
-			break
+	return func(yield func(seedHead) bool) {
+		for range addrs {
+			if !yield(<-heads) {
+				return
+			}
 		}
 	}
-	return found
+}
+
+// fetchCluster gets the cluster from another process and puts it in force.
+func (n *Node) fetchCluster(ctx context.Context, from seedHead) bool {
+	ack, err := n.Hello(ctx, from.addr)
+	if err != nil || !ack.GetFormed() {
+		return false
+	}
+	if err := n.Cluster.Apply(ack.ClusterVer, ack.Cluster); err != nil {
+		n.Log.Warn("cluster of a seed not applied", "err", err)
+		return false
+	}
+	return true
 }
 
 // Discover learns the cluster's voters from the seeds.
--- a/internal/proto/register/acceptor.go
+++ b/internal/proto/register/acceptor.go
@@ -42,7 +42,8 @@
 	unsynced map[string]bool
 	// uncertain are the timed cells whose write failed, by key: they may be on the disk
 	// all the same, from a moment that nobody knows.
-	uncertain map[string]uint64
+	uncertain  map[string]uint64
+	compressed compressedValues
 }
 
 // acceptTime remembers when this process first held a timed cell.
@@ -124,13 +125,13 @@
 		return nil, err
 	}
 	if wire.CompareBallots(q.Ballot, r.Promised) <= 0 {
-		return a.view(q.Key, r), code.New(code.OldBallot, "promised %d", r.Promised.GetN())
+		return a.withoutValue(q.Key, r), code.New(code.OldBallot, "promised %d", r.Promised.GetN())
 	}
 	r.Promised = q.Ballot
 	if err := a.save(q.Key, r); err != nil {
 		return nil, err
 	}
-	return a.view(q.Key, r), nil
+	return a.reduce(a.view(q.Key, r), q.Key, r, wanted{known: q.Known, acceptsCompressed: q.AcceptsCompressed}), nil
 }
 
 // Accept takes the cell unless a higher ballot was promised. In the same sync it promises
@@ -144,16 +145,24 @@
 		return nil, err
 	}
 	if wire.CompareBallots(q.Ballot, r.Promised) < 0 {
-		return a.view(q.Key, r), code.New(code.OldBallot, "promised %d", r.Promised.GetN())
+		return a.withoutValue(q.Key, r), code.New(code.OldBallot, "promised %d", r.Promised.GetN())
 	}
-	r.Promised, r.Accepted, r.Cell, r.Copied = q.Ballot, q.Ballot, q.Cell, false
+	cell := q.Cell
+	if len(q.CompressedValue) > 0 {
+		value, err := wire.Decompress(q.CompressedValue)
+		if err != nil {
+			return nil, err
+		}
+		cell = withValue(q.Cell, value)
+	}
+	r.Promised, r.Accepted, r.Cell, r.Copied = q.Ballot, q.Ballot, cell, false
 	if wire.CompareBallots(q.Next, q.Ballot) > 0 {
 		r.Promised = q.Next
 	}
 	if err := a.saveCell(q.Key, r); err != nil {
 		return nil, err
 	}
-	return a.view(q.Key, r), nil
+	return a.withoutValue(q.Key, r), nil
 }
 
 // Adopt takes what another acceptor of the key has accepted, under the rule of an accept:
@@ -220,7 +229,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return a.view(q.Key, r), nil
+	w := wanted{known: q.Known, head: q.Head, acceptsCompressed: q.AcceptsCompressed}
+	return a.reduce(a.view(q.Key, r), q.Key, r, w), nil
 }
 
 func (a *Acceptor) view(key string, r *wire.Rec) *wire.View {
--- a/internal/proto/register/change.go
+++ b/internal/proto/register/change.go
@@ -59,10 +59,15 @@
 		if got == nil {
 			continue
 		}
-		next, err := c.propose(got)
+		found, holders := highest(got)
+		if p.complete(ctx, key, found, holders) != nil {
+			continue
+		}
+		next, err := c.propose(found, holders)
 		if err != nil {
 			return c.fail(err)
 		}
+		next.compressTo = acceptingCompressed(got)
 		if next.cell == nil || set.Quorum(next.holders) || c.accepted(ctx, ballot, next) {
 			return next.state, next.refusal
 		}
@@ -91,7 +96,7 @@
 	// refusal is asked for again from what a majority says.
 	if cell, err := a.next(c.update, c.operation); err == nil {
 		c.baseVersion = a.cell.GetVer()
-		chosen, untouched := p.choose(ctx, c.set, c.key, a.ballot, cell, true)
+		chosen, untouched := p.choose(ctx, c.set, c.key, a.ballot, &proposal{cell: cell, made: true})
 		if chosen {
 			p.OneRound.Add(1)
 			return State{Version: cell.Ver, Value: cell.Val}, true
@@ -109,12 +114,13 @@
 	holders map[Replica]bool // who has accepted the cell already
 	made    bool             // the cell is a new one of ours
 	refusal error            // of the function that makes the new value
+	// compressTo are the voters that accept a compressed value.
+	compressTo map[Replica]bool
 }
 
-// propose computes the proposal from the answers of a quorum to a prepare. It fails where
-// it can no longer be determined whether this change was made.
-func (c *change) propose(got []reply) (*proposal, error) {
-	found, holders := highest(got)
+// propose computes the proposal from what a quorum's answers to a prepare show. It fails
+// where it can no longer be determined whether this change was made.
+func (c *change) propose(found *wire.View, holders map[Replica]bool) (*proposal, error) {
 	n := &proposal{state: stateOf(found), cell: found.GetCell(), holders: holders}
 	if c.update == nil || slices.Contains(n.cell.GetOps(), c.operation) {
 		// Ours already, or nothing to change: only make it safe.
@@ -142,7 +148,7 @@
 
 // accepted runs the accept round of a proposal, and reports whether it is chosen.
 func (c *change) accepted(ctx context.Context, ballot *wire.Ballot, n *proposal) bool {
-	chosen, untouched := c.proposer.choose(ctx, c.set, c.key, ballot, n.cell, n.made)
+	chosen, untouched := c.proposer.choose(ctx, c.set, c.key, ballot, n)
 	switch {
 	case chosen && n.made:
 		n.state = State{Version: n.cell.Ver, Value: n.cell.Val}
@@ -160,26 +166,26 @@
 	return &wire.Cell{Ver: c.GetVer() + 1, Val: value, Ops: ops, Timed: timed}
 }
 
-// choose runs the accept round for a cell and, where the cell is a new change of ours, has
-// a next ballot promised along with it. It reports whether the cell is chosen; if not,
-// untouched reports whether it is certain that no voter has accepted it.
+// choose runs the accept round for a proposal's cell and, where the cell is a new change of
+// ours, has a next ballot promised along with it. It reports whether the cell is chosen; if
+// not, untouched reports whether it is certain that no voter has accepted it.
 func (p *Proposer) choose(
 	ctx context.Context,
 	set Set,
 	key string,
 	ballot *wire.Ballot,
-	c *wire.Cell,
-	made bool,
+	proposed *proposal,
 ) (chosen, untouched bool) {
 	var next *wire.Ballot
-	if made {
+	if proposed.made {
 		next = p.ballot()
 	}
-	got := p.accept(ctx, set, key, ballot, next, c, func(got []reply) bool { return set.Quorum(succeeded(got)) })
+	got := p.accept(ctx, set, key, ballot, next, proposed, func(got []reply) bool { return set.Quorum(succeeded(got)) })
 	if !set.Quorum(succeeded(got)) {
 		return false, allRefused(set, got, ballot)
 	}
-	if !made {
+	p.values.put(key, ballot, proposed.cell.GetVal())
+	if !proposed.made {
 		return true, false
 	}
 	// The next change may go without preparing only if a quorum has said, in the
@@ -194,7 +200,7 @@
 		}
 	}
 	if set.Quorum(promised) {
-		p.prepared.put(&preparedBallot{key: key, set: set, ballot: next, cell: c, preparedAt: time.Now()})
+		p.prepared.put(&preparedBallot{key: key, set: set, ballot: next, cell: proposed.cell, preparedAt: time.Now()})
 	}
 	return true, false
 }
--- a/internal/proto/register/proposer.go
+++ b/internal/proto/register/proposer.go
@@ -56,6 +56,7 @@
 	Random   func() uint64
 	prepared preparedCache
 	queues   keyQueues
+	values   knownValues
 }
 
 // NewProposer makes a proposer that sends requests by call. node must be unique to this
@@ -74,13 +75,21 @@
 // accepted is written back first, so that no later read can miss it. It returns an error
 // that wraps ErrNoQuorum where too few voters answered.
 func (p *Proposer) Read(ctx context.Context, set Set, key string) (State, error) {
-	got := p.round(ctx, set, func() *wire.Req { return &wire.Req{Op: &wire.Req_Look{Look: &wire.Look{Key: key}}} },
-		func(got []reply) bool { return set.Quorum(succeeded(got)) })
+	known := p.values.ballot(key)
+	request := func(Replica) *wire.Req {
+		return &wire.Req{Op: &wire.Req_Look{Look: &wire.Look{Key: key, Known: known, Head: true, AcceptsCompressed: true}}}
+	}
+	// A voter that lags would have the value written back by every reader; those that
+	// don't are waited for a moment instead.
+	got := p.round(ctx, set, request, func(got []reply) bool {
+		_, holders := highest(got)
+		return set.Quorum(holders)
+	})
 	if !set.Quorum(succeeded(got)) {
 		return State{}, fmt.Errorf("read %s: %w: %w", key, ErrNoQuorum, firstError(got))
 	}
 	top, holders := highest(got)
-	if set.Quorum(holders) {
+	if set.Quorum(holders) && p.complete(ctx, key, top, holders) == nil {
 		return stateOf(top), nil
 	}
 	st, err := p.Change(ctx, set, key, nil)
@@ -93,11 +102,15 @@
 
 // prepare is the first round. It returns no replies where there is no quorum.
 func (p *Proposer) prepare(ctx context.Context, set Set, key string) (*wire.Ballot, []reply, error) {
-	ballot := p.ballot()
+	ballot, known := p.ballot(), p.values.ballot(key)
 	got := p.round(
 		ctx,
 		set,
-		func() *wire.Req { return &wire.Req{Op: &wire.Req_Prep{Prep: &wire.Prep{Key: key, Ballot: ballot}}} },
+		func(Replica) *wire.Req {
+			return &wire.Req{Op: &wire.Req_Prep{
+				Prep: &wire.Prep{Key: key, Ballot: ballot, Known: known, AcceptsCompressed: true},
+			}}
+		},
 		func(got []reply) bool { return set.Quorum(succeeded(got)) },
 	)
 	p.observeReplies(got)
@@ -114,11 +127,15 @@
 	set Set,
 	key string,
 	ballot, next *wire.Ballot,
-	c *wire.Cell,
+	proposed *proposal,
 	enough func([]reply) bool,
 ) []reply {
-	got := p.round(ctx, set, func() *wire.Req {
-		return &wire.Req{Op: &wire.Req_Acc{Acc: &wire.Acc{Key: key, Ballot: ballot, Cell: c, Next: next}}}
+	compressed := proposed.compressedRequest(key, ballot, next)
+	got := p.round(ctx, set, func(to Replica) *wire.Req {
+		if compressed != nil && proposed.compressTo[to] {
+			return &wire.Req{Op: &wire.Req_Acc{Acc: compressed}}
+		}
+		return &wire.Req{Op: &wire.Req_Acc{Acc: &wire.Acc{Key: key, Ballot: ballot, Cell: proposed.cell, Next: next}}}
 	}, enough)
 	p.observeReplies(got)
 	return got
--- a/internal/proto/register/register_test.go
+++ b/internal/proto/register/register_test.go
@@ -1,10 +1,12 @@
 package register_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,6 +60,8 @@
 	// those under which there was another.
 	sent  map[string]*wire.Cell
 	twice int
+	// compressed counts accept requests with a compressed value.
+	compressed int
 }
 
 func newWorld(seed uint64, n, lose int) (*world, register.Set) {
@@ -106,10 +110,19 @@
 	}
 	if q := q.GetAcc(); q != nil {
 		id := fmt.Sprintf("%s %d %d", q.Key, q.Ballot.N, q.Ballot.Node)
+		cell := proto.Clone(q.Cell).(*wire.Cell)
+		if len(q.CompressedValue) > 0 {
+			value, err := wire.Decompress(q.CompressedValue)
+			if err != nil {
+				return nil, err
+			}
+			cell.Val = value
+		}
 		w.mu.Lock()
+		w.compressed += min(len(q.CompressedValue), 1)
 		if c := w.sent[id]; c == nil {
-			w.sent[id] = proto.Clone(q.Cell).(*wire.Cell)
-		} else if !proto.Equal(c, q.Cell) {
+			w.sent[id] = cell
+		} else if !proto.Equal(c, cell) {
 			w.twice++
 		}
 		w.mu.Unlock()
@@ -136,10 +149,10 @@
 	var v *wire.View
 	var err error
 	switch {
+	case w.old[addr]:
+		v, err = answerAsOld(a, q)
 	case q.GetPrep() != nil:
 		v, err = a.Prepare(q.GetPrep())
-	case q.GetAcc() != nil && w.old[addr]:
-		v, err = a.Accept(&wire.Acc{Key: q.GetAcc().Key, Ballot: q.GetAcc().Ballot, Cell: q.GetAcc().Cell})
 	case q.GetAcc() != nil:
 		v, err = a.Accept(q.GetAcc())
 	default:
@@ -154,6 +167,23 @@
 	return r, err
 }
 
+// answerAsOld answers as a version that knows neither a next ballot nor that values may be
+// compressed or left out.
+func answerAsOld(a *register.Acceptor, q *wire.Req) (v *wire.View, err error) {
+	switch {
+	case q.GetPrep() != nil:
+		v, err = a.Prepare(&wire.Prep{Key: q.GetPrep().Key, Ballot: q.GetPrep().Ballot})
+	case q.GetAcc() != nil:
+		v, err = a.Accept(&wire.Acc{Key: q.GetAcc().Key, Ballot: q.GetAcc().Ballot, Cell: q.GetAcc().Cell})
+	default:
+		v, err = a.Read(&wire.Look{Key: q.GetLook().Key})
+	}
+	if v != nil {
+		v.AcceptsCompressed = false
+	}
+	return v, err
+}
+
 // freeze stops an acceptor for d.
 func (w *world) freeze(addr string, d time.Duration) {
 	ch := make(chan struct{})
@@ -207,13 +237,15 @@
 	lose        int
 	full        int           // letters at which adds are refused
 	rest        time.Duration // longest rest of a rival after every third operation
-	old         []string      // acceptors of a version that knows no next ballot
+	old         []string      // acceptors of an earlier version
+	padding     int           // bytes before the letters of each value
 }
 
 // load report is what went on in it.
 type loadReport struct {
 	lost, late    int
 	short, missed uint64
+	compressed    int
 }
 
 // play runs rivals over a lossy network with acceptors that crash and freeze, and
@@ -247,17 +279,21 @@
 					if in.read {
 						var st register.State
 						st, err = pr.Read(ctx, set, "k")
-						out = string(st.Value)
+						out = strings.TrimLeft(string(st.Value), ".")
 					} else {
 						var st register.State
 						st, err = pr.Change(ctx, set, "k", func(s register.State) ([]byte, bool, error) {
-							if len(s.Value) >= tr.full {
+							if len(s.Value)-tr.padding >= tr.full {
 								return nil, false, errFull
 							}
-							return append(append([]byte(nil), s.Value...), in.nextCell...), false, nil
+							value := s.Value
+							if len(value) == 0 {
+								value = bytes.Repeat([]byte("."), tr.padding)
+							}
+							return append(slices.Clone(value), in.nextCell...), false, nil
 						})
 						// The state handed back may already hold later changes.
-						if out = string(st.Value); err == nil {
+						if out = strings.TrimLeft(string(st.Value), "."); err == nil {
 							out = out[:strings.Index(out, in.nextCell)+2]
 						}
 						if errors.Is(err, errFull) {
@@ -311,7 +347,7 @@
 				ClientId: 99,
 				Input:    input{read: true},
 				Call:     at,
-				Output:   string(st.Value),
+				Output:   strings.TrimLeft(string(st.Value), "."),
 				Return:   now(),
 			},
 		)
@@ -320,7 +356,7 @@
 		}
 		time.Sleep(time.Second)
 		w.mu.Lock()
-		sum.lost, sum.late = w.lost, w.late
+		sum.lost, sum.late, sum.compressed = w.lost, w.late, w.compressed
 		if w.twice > 0 {
 			t.Errorf("seed %d: %d times another cell under the same ballot", seed, w.twice)
 		}
@@ -349,12 +385,20 @@
 			trial{rivals: 3, ops: 9, lose: 5, full: 40, rest: 300 * time.Millisecond, old: []string{"a1", "a2"}},
 			-1,
 		},
+		{"large", 100, trial{rivals: 3, ops: 9, lose: 10, full: 40, rest: 100 * time.Millisecond, padding: 5000}, 20},
+		{
+			"large, one old",
+			60,
+			trial{rivals: 3, ops: 9, lose: 5, full: 40, rest: 300 * time.Millisecond, old: []string{"a1"}, padding: 5000},
+			30,
+		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var sum loadReport
 			for seed := range tc.seeds {
 				n := play(t, seed, tc.trial)
 				sum.lost, sum.late, sum.short, sum.missed = sum.lost+n.lost, sum.late+n.late, sum.short+n.short, sum.missed+n.missed
+				sum.compressed += n.compressed
 			}
 			if sum.lost == 0 || sum.late == 0 {
 				t.Errorf("%d calls lost, %d held back: a fault did not fire", sum.lost, sum.late)
@@ -362,6 +406,9 @@
 			if int(sum.short) < tc.short || tc.short < 0 && sum.short+sum.missed > 0 {
 				t.Errorf("%d changes in one round, %d missed, want at least %d", sum.short, sum.missed, tc.short)
 			}
+			if (sum.compressed > 0) != (tc.trial.padding > 0) {
+				t.Errorf("%d accepts with a compressed value", sum.compressed)
+			}
 			t.Logf("%+v", sum)
 		})
 	}
--- a/internal/proto/register/repair_test.go
+++ b/internal/proto/register/repair_test.go
@@ -22,7 +22,10 @@
 		if got == nil {
 			continue
 		}
-		cur, _ := highest(got)
+		cur, holders := highest(got)
+		if p.complete(ctx, key, cur, holders) != nil {
+			continue
+		}
 		if cur.GetCell() == nil {
 			return nil
 		}
@@ -35,7 +38,7 @@
 			}
 			return set.Quorum(have)
 		}
-		if all(p.accept(ctx, set, key, ballot, nil, cur.GetCell(), all)) {
+		if all(p.accept(ctx, set, key, ballot, nil, &proposal{cell: cur.GetCell()}, all)) {
 			return nil
 		}
 	}
--- a/internal/proto/register/round.go
+++ b/internal/proto/register/round.go
@@ -37,13 +37,14 @@
 const minStragglerWait = 20 * time.Millisecond
 
 // round sends a request to every voter and returns once done reports that the replies are
-// enough, or all have answered. When a quorum is no longer possible it waits for the rest
-// only for as long again as it has taken so far: if every voter has refused, it is certain
-// that none has accepted, and one of them may know the reason.
+// enough, or all have answered. When a quorum is no longer possible, or has answered and
+// is not enough, it waits for the rest only for as long again as it has taken so far: if
+// every voter has refused, it is certain that none has accepted, and one of them may know
+// the reason.
 func (p *Proposer) round(
 	ctx context.Context,
 	set Set,
-	request func() *wire.Req,
+	request func(to Replica) *wire.Req,
 	done func(got []reply) bool,
 ) []reply {
 	all := set.All()
@@ -61,7 +62,7 @@
 			if got = append(got, g); done(got) {
 				return got
 			}
-			if enough != nil || !set.quorumLost(got) {
+			if enough != nil || !set.quorumLost(got) && !set.Quorum(succeeded(got)) {
 				continue
 			}
 			t := time.NewTimer(max(time.Since(asked), minStragglerWait))
@@ -84,14 +85,14 @@
 func (p *Proposer) ask(
 	ctx context.Context,
 	all []Replica,
-	request func() *wire.Req,
+	request func(to Replica) *wire.Req,
 ) (replies <-chan reply, over <-chan struct{}) {
 	ch := make(chan reply, len(all))
 	callCtx, stop := context.WithTimeout(context.WithoutCancel(ctx), p.RoundTimeout)
 	last := &sharedCancel{stop: stop}
 	last.left.Store(int32(len(all)))
 	for _, r := range all {
-		q := request()
+		q := request(r)
 		q.Ident = r.Ident
 		SetVersion(ctx, q)
 		go func() {
@@ -161,7 +162,13 @@
 	if top == nil {
 		return nil, holders
 	}
-	return &wire.View{Accepted: top.Accepted, Cell: top.Cell, AgeMs: age}, holders
+	return &wire.View{
+		Accepted:        top.Accepted,
+		Cell:            top.Cell,
+		AgeMs:           age,
+		CompressedValue: top.CompressedValue,
+		ValueOmitted:    top.ValueOmitted,
+	}, holders
 }
 
 // allRefused reports whether every voter has answered that it accepted nothing under a
--- /dev/null
+++ b/internal/proto/wire/compress.go
@@ -0,0 +1,34 @@
+package wire
+
+import (
+	"github.com/klauspost/compress/s2"
+
+	"damsontiller/internal/transport/code"
+)
+
+const (
+	// CompressAbove is the size in bytes from which a value counts as large: it is sent
+	// compressed, and only to who needs it.
+	CompressAbove = 4 << 10
+	// maxDecompressed bounds the memory taken for one value, in bytes.
+	maxDecompressed = 8 << 20
+)
+
+// Compress gives the form in which a large value is sent.
+func Compress(value []byte) []byte { return s2.EncodeBetter(nil, value) }
+
+// Decompress undoes Compress. The error has code.Garbled.
+func Decompress(b []byte) ([]byte, error) {
+	n, err := s2.DecodedLen(b)
+	if err != nil {
+		return nil, code.New(code.Garbled, "compressed value can't be read: %w", err)
+	}
+	if n > maxDecompressed {
+		return nil, code.New(code.Garbled, "compressed value of %d bytes, limit %d", n, maxDecompressed)
+	}
+	value, err := s2.Decode(nil, b)
+	if err != nil {
+		return nil, code.New(code.Garbled, "compressed value can't be read: %w", err)
+	}
+	return value, nil
+}
--- a/internal/proto/wire/golden_test.go
+++ b/internal/proto/wire/golden_test.go
@@ -12,25 +12,92 @@
 	"google.golang.org/protobuf/types/dynamicpb"
 )
 
-const goldenFile = "testdata/frames.golden"
+const (
+	goldenFile        = "testdata/frames.golden"
+	earlierGoldenFile = "testdata/frames-7b6c0ec.golden"
+)
 
-// TestFrames compares the bytes of each message, with every field filled in, with those
-// of commit 7b6c0ec: neighbouring releases understand each other only if no field's
-// number or type changes. A new field or message adds to the file; none may go.
+// TestFrames compares the bytes of each message, with every field filled in, with the
+// golden ones: neighbouring releases understand each other only if no field's number or
+// type changes. A new field or message adds to the file; none may go.
 func TestFrames(t *testing.T) {
-	raw, err := os.ReadFile(goldenFile)
-	if err != nil {
-		t.Fatal(err)
-	}
 	got := frames(t)
-	for _, want := range strings.Split(strings.TrimSpace(string(raw)), "\n") {
-		name, frame, _ := strings.Cut(want, " ")
+	for name, frame := range golden(t, goldenFile) {
 		if got[name] != frame {
 			t.Errorf("%s is sent as %s, want %s", name, got[name], frame)
 		}
 	}
 }
 
+// TestEarlierFrames reads the frames of commit 7b6c0ec, which had fewer fields: each of
+// their fields is still there, with its number, type and value, and is written back as it
+// was.
+func TestEarlierFrames(t *testing.T) {
+	messages := File_dt_proto.Messages()
+	for name, frame := range golden(t, earlierGoldenFile) {
+		descriptor := messages.ByName(protoreflect.Name(name))
+		if descriptor == nil {
+			t.Errorf("%s is gone", name)
+			continue
+		}
+		raw, err := hex.DecodeString(frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		message := dynamicpb.NewMessage(descriptor)
+		if err := proto.Unmarshal(raw, message); err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		checkFilled(t, name, message)
+		again, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+		if err != nil || hex.EncodeToString(again) != frame {
+			t.Errorf("%s is written back as %x, %v, want %s", name, again, err, frame)
+		}
+	}
+}
+
+// golden reads a file of frames by the name of their message.
+func golden(t *testing.T, file string) map[string]string {
+	t.Helper()
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := map[string]string{}
+	for _, line := range strings.Split(strings.TrimSpace(string(raw)), "\n") {
+		name, frame, _ := strings.Cut(line, " ")
+		out[name] = frame
+	}
+	return out
+}
+
+// checkFilled checks that a message has no field that is unknown, and that each scalar
+// field that is set has the value that fillMessage gives a field of its number and type.
+func checkFilled(t *testing.T, name string, m protoreflect.Message) {
+	t.Helper()
+	if unknown := m.GetUnknown(); len(unknown) > 0 {
+		t.Errorf("%s has unknown fields: %x", name, unknown)
+	}
+	m.Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		nested := field.Kind() == protoreflect.MessageKind
+		switch {
+		case field.IsMap():
+		case field.IsList() && nested:
+			checkFilled(t, name, value.List().Get(0).Message())
+		case nested:
+			checkFilled(t, name, value.Message())
+		case field.IsList():
+			if got := value.List().Get(0); !got.Equal(scalar(field)) {
+				t.Errorf("%s.%s is %v", name, field.Name(), got)
+			}
+		case !value.Equal(scalar(field)):
+			t.Errorf("%s.%s is %v", name, field.Name(), value)
+		}
+		return true
+	})
+}
+
 // frames encodes a filled message of each type, by name.
 func frames(t *testing.T) map[string]string {
 	t.Helper()
