--- a/internal/coordination/cluster/cluster.go
+++ b/internal/coordination/cluster/cluster.go
@@ -34,7 +34,7 @@
 	CoresVersion uint64
 	spec.Cluster
 	raw        []byte
-	compressed func() []byte
+	compressed func() []byte // raw in the form in which it is sent
 }
 
 // Copies is how many stores hold each key.
@@ -51,9 +51,6 @@
 // Raw is the register's value.
 func (v *View) Raw() []byte { return v.raw }
 
-// Compressed is the register's value in the form in which it is sent.
-func (v *View) Compressed() []byte { return v.compressed() }
-
 // Cluster holds the version in force in this process. Its methods may be called
 // concurrently.
 type Cluster struct {
--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -73,15 +73,7 @@
 
 func (n *Node) hello(_ context.Context, q *wire.Req) (*wire.Resp, error) {
 	v := n.Cluster.Now()
-	ack := &wire.HelloAck{Self: n.Peer.Member(v.Version), Formed: v.Version > 0, ClusterVer: v.Version}
-	switch {
-	case q.GetHello().GetHead():
-	case q.GetHello().GetAcceptsCompressed() && len(v.Raw()) >= wire.CompressAbove:
-		ack.CompressedCluster = v.Compressed()
-	default:
-		ack.Cluster = v.Raw()
-	}
-	return &wire.Resp{Op: &wire.Resp_Hello{Hello: ack}}, nil
+	return &wire.Resp{Op: &wire.Resp_Hello{Hello: v.HelloAck(n.Peer.Member(v.Version), q.GetHello())}}, nil
 }
 
 // helloTimeout is how long another process has to say who it is.
@@ -93,17 +85,9 @@
 }
 
 func (n *Node) askHello(ctx context.Context, addr string, q *wire.Hello) (*wire.HelloAck, error) {
-	r, err := n.Peer.CallFor(ctx, helloTimeout, addr, &wire.Req{Op: &wire.Req_Hello{Hello: q}})
-	if err != nil {
-		return nil, err
-	}
-	ack := r.GetHello()
-	if len(ack.GetCompressedCluster()) > 0 {
-		if ack.Cluster, err = wire.Decompress(ack.CompressedCluster); err != nil {
-			return nil, err
-		}
-	}
-	return ack, nil
+	ctx, stop := context.WithTimeout(ctx, helloTimeout)
+	defer stop()
+	return cluster.Hello(ctx, n.Peer.Call, register.Replica{Addr: addr}, q)
 }
 
 // Go runs a background task until ctx ends. Wait waits for it.
--- a/internal/coordination/storeclient/client.go
+++ b/internal/coordination/storeclient/client.go
@@ -6,6 +6,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"damsontiller/internal/coordination/cluster"
@@ -21,7 +23,14 @@
 	Peer     *peer.Peer
 	Cluster  *cluster.Cluster
 	Proposer *register.Proposer
-	health   health
+
+	catchingUp chan struct{} // full while somebody catches up
+	health     health
+}
+
+// New makes a client.
+func New(pr *peer.Peer, c *cluster.Cluster, p *register.Proposer) *Client {
+	return &Client{Peer: pr, Cluster: c, Proposer: p, catchingUp: make(chan struct{}, 1)}
 }
 
 // failure gives an error its code; only an uncertain change is code.OutcomeUnknown.
@@ -71,26 +80,47 @@
 		if attempt == maxCatchUps || ctx.Err() != nil {
 			return v.Version, code.New(code.StoresUnreachable, "%w", err)
 		}
-		client.catchUp(ctx, s)
+		client.catchUp(ctx, s, v.Version)
 	}
 }
 
-// catchUp applies the newest spec that any of the stores has, whether or not the core can
-// be reached.
-func (client *Client) catchUp(ctx context.Context, s register.Set) {
+// catchUp applies a newer spec that one of the stores has, whether or not the core can be
+// reached. Requests that are refused together catch up once.
+func (client *Client) catchUp(ctx context.Context, s register.Set, from uint64) {
 	ctx, stop := context.WithTimeout(ctx, probeInterval)
 	defer stop()
-	ch, n := client.ask(ctx, s, func() *wire.Req { return &wire.Req{Op: &wire.Req_Hello{Hello: &wire.Hello{}}} })
+	select {
+	case client.catchingUp <- struct{}{}:
+		defer func() { <-client.catchingUp }()
+	case <-ctx.Done():
+		return
+	}
+	if client.Cluster.Now().Version > from {
+		return
+	}
+	ch, n := client.ask(ctx, s, func() *wire.Req {
+		return &wire.Req{Op: &wire.Req_Hello{Hello: &wire.Hello{Head: true}}}
+	})
 	for range n {
-		if g := <-ch; g.err == nil && g.hello.GetClusterVer() > client.Cluster.Now().Version {
-			if err := client.Cluster.Apply(g.hello.ClusterVer, g.hello.Cluster); err != nil {
-				client.Peer.Log.Warn("spec of a store not applied", "err", err)
-			}
+		if g := <-ch; g.err == nil && g.hello.GetClusterVer() > from && client.fetchSpec(ctx, g.from) {
 			return
 		}
 	}
 }
 
+// fetchSpec gets the spec that a store has in force and applies it.
+func (client *Client) fetchSpec(ctx context.Context, from register.Replica) bool {
+	ack, err := cluster.Hello(ctx, client.Peer.Call, from, &wire.Hello{AcceptsCompressed: true})
+	if err != nil {
+		return false
+	}
+	if err := client.Cluster.Apply(ack.GetClusterVer(), ack.GetCluster()); err != nil {
+		client.Peer.Log.Warn("spec of a store not applied", "err", err)
+		return false
+	}
+	return true
+}
+
 // Read is a linearizable read at a majority.
 func (client *Client) Read(ctx context.Context, key string) (register.State, error) {
 	state, _, err := client.read(ctx, key, false)
@@ -154,6 +184,12 @@
 func (client *Client) ask(ctx context.Context, s register.Set, q func() *wire.Req) (<-chan blobReply, int) {
 	all := s.All()
 	ch := make(chan blobReply, len(all))
+	client.askEach(ctx, all, q, ch)
+	return ch, len(all)
+}
+
+// askEach sends a request to each replica; the channel must have a place for each answer.
+func (client *Client) askEach(ctx context.Context, all []register.Replica, q func() *wire.Req, ch chan<- blobReply) {
 	for _, r := range all {
 		go func() {
 			m := q()
@@ -163,7 +199,6 @@
 			ch <- blobReply{r, a.GetGot(), a.GetHello(), err}
 		}()
 	}
-	return ch, len(all)
 }
 
 // PutBlob stores an immutable value at a majority of every group, for at least keep.
@@ -240,31 +275,92 @@
 	return g.Val, time.Duration(g.KeepMs-g.AgeMs) * time.Millisecond, nil
 }
 
+// blobHedge is how long the nearest holder of a blob is waited for before the others are
+// asked as well: several times what a store needs that is neither slow nor far.
+const blobHedge = 30 * time.Millisecond
+
+// get asks the nearest holder first, and all others only where that one does not have the
+// blob or does not answer soon: a blob is large beside the question, and one replica
+// suffices.
 func (client *Client) get(ctx context.Context, s register.Set, key string) (*wire.Got, error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	ch, n := client.ask(ctx, s, func() *wire.Req { return &wire.Req{Op: &wire.Req_Get{Get: &wire.Get{Key: key}}} })
-	absent, past := map[register.Replica]bool{}, false
-	last := error(nil)
-	for range n {
-		g := <-ch
-		switch {
-		case code.Of(g.err) == code.StaleSpec:
-			return nil, g.err
-		case g.err != nil:
-			last = g.err
+	request := func() *wire.Req { return &wire.Req{Op: &wire.Req_Get{Get: &wire.Get{Key: key}}} }
+	all := client.byDistance(s.All())
+	answers := make(chan blobReply, len(all))
+	client.askEach(ctx, all[:1], request, answers)
+	asked := 1
+	askRest := func() {
+		client.askEach(ctx, all[asked:], request, answers)
+		asked = len(all)
+	}
+	hedge := time.NewTimer(blobHedge)
+	defer hedge.Stop()
+	tally := blobTally{absent: map[register.Replica]bool{}}
+	for answered := 0; answered < len(all); {
+		select {
+		case <-hedge.C:
+			askRest()
 			continue
-		case g.blob.GetState() == wire.Got_HERE:
-			return g.blob, nil
-		case g.blob.GetState() == wire.Got_PAST:
-			past = true
-		}
-		if absent[g.from] = true; s[:1].Quorum(absent) {
-			if past {
-				return nil, code.New(code.Expired, "%s is past its keeping time", key)
+		case g := <-answers:
+			answered++
+			if g.blob.GetState() == wire.Got_HERE && g.err == nil {
+				return g.blob, nil
+			}
+			if err := tally.add(g, s, key); err != nil {
+				return nil, err
 			}
-			return nil, code.New(code.NoTurn, "%s was never kept", key)
 		}
+		askRest()
+	}
+	return nil, code.New(code.StoresUnreachable, "get %s: %w", key, tally.last)
+}
+
+// blobTally is what holders that don't have a blob have said.
+type blobTally struct {
+	absent map[register.Replica]bool
+	past   bool
+	last   error
+}
+
+// add counts an answer. It returns the error that is certain by now, if one is.
+func (t *blobTally) add(g blobReply, s register.Set, key string) error {
+	switch {
+	case code.Of(g.err) == code.StaleSpec:
+		return g.err
+	case g.err != nil:
+		t.last = g.err
+		return nil
+	}
+	t.past = t.past || g.blob.GetState() == wire.Got_PAST
+	t.absent[g.from] = true
+	switch {
+	case !s[:1].Quorum(t.absent):
+		return nil
+	case t.past:
+		return code.New(code.Expired, "%s is past its keeping time", key)
+	}
+	return code.New(code.NoTurn, "%s was never kept", key)
+}
+
+// byDistance puts the replicas of this node's zone first, and those of each zone in random
+// order.
+func (client *Client) byDistance(all []register.Replica) []register.Replica {
+	v := client.Cluster.Now()
+	near := map[string]bool{}
+	for _, m := range slices.Concat(v.Cluster.Stores, v.NextStores) {
+		near[m.Ident] = m.Zone == client.Peer.Self.Zone
 	}
-	return nil, code.New(code.StoresUnreachable, "get %s: %w", key, last)
+	out := slices.Clone(all)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b register.Replica) int {
+		switch {
+		case near[a.Ident] == near[b.Ident]:
+			return 0
+		case near[a.Ident]:
+			return -1
+		}
+		return 1
+	})
+	return out
 }
--- a/internal/dataplane/cooldown/snapshot_test.go
+++ b/internal/dataplane/cooldown/snapshot_test.go
@@ -83,7 +83,7 @@
 			cooldown.New(
 				cooldown.DefaultParams,
 				n,
-				&storeclient.Client{Peer: n.Peer, Cluster: n.Cluster, Proposer: n.Proposer},
+				storeclient.New(n.Peer, n.Cluster, n.Proposer),
 			),
 		)
 	}
--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -106,7 +106,7 @@
 		wakeup:     loop.NewWakeup(),
 		background: job.NewBackground(ctx),
 	}
-	t := &storeclient.Client{Peer: e.Peer, Cluster: e.Cluster, Proposer: e.Proposer}
+	t := storeclient.New(e.Peer, e.Cluster, e.Proposer)
 	runners := &intern.Table{}
 	e.stores = t
 	e.slots = slots.New(runners)
--- a/internal/kit/proxytest/fleet_test.go
+++ b/internal/kit/proxytest/fleet_test.go
@@ -75,7 +75,7 @@
 		return r
 	}
 	e := f.s.Edge(id)
-	t := &storeclient.Client{Peer: e.Peer, Cluster: e.Cluster, Proposer: e.Proposer}
+	t := storeclient.New(e.Peer, e.Cluster, e.Proposer)
 	bg := job.NewBackground(f.ctx)
 	f.bgs = append(f.bgs, bg)
 	r := newRig(f.t, f.bs, proxy.NewTurns(f.turn, t), proxy.NewBudgets(proxy.DefaultBudgets, t, bg))
@@ -231,7 +231,7 @@
 		ask("back", 200, "first")
 		// A turn that is there, and one before it that nobody has: that is no certainty.
 		e := f.s.Edge("e1")
-		tr := &storeclient.Client{Peer: e.Peer, Cluster: e.Cluster, Proposer: e.Proposer}
+		tr := storeclient.New(e.Peer, e.Cluster, e.Proposer)
 		if err := tr.PutBlob(f.ctx, "turn/torn", wire.MustEncode(&wire.Turn{Before: []string{"ghost"}}), time.Hour); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/kit/sim/audit.go
+++ b/internal/kit/sim/audit.go
@@ -58,7 +58,7 @@
 		r.Forget()
 	}
 	v := checker.Audited(s.Crowd.Audit(ctx, edges, most))
-	t := &storeclient.Client{Peer: e.Peer, Cluster: e.Cluster, Proposer: e.Proposer}
+	t := storeclient.New(e.Peer, e.Cluster, e.Proposer)
 	got := map[string]int64{}
 	for _, a := range s.Crowd.Log() {
 		if a.Turn && a.Status == http.StatusOK {
--- a/internal/kit/sim/brief_test.go
+++ b/internal/kit/sim/brief_test.go
@@ -557,7 +557,7 @@
 			if err := r.Apply(old.Version, old.Raw()); err != nil {
 				t.Fatal(err)
 			}
-			return &storeclient.Client{Peer: e.Peer, Cluster: r, Proposer: e.Proposer}
+			return storeclient.New(e.Peer, r, e.Proposer)
 		}
 		now := e.Cluster.Now().Version
 		if _, ver, err := behind().ReadStrict(ctx, "cool/x"); err != nil || ver != now {
--- a/internal/kit/sim/membership_test.go
+++ b/internal/kit/sim/membership_test.go
@@ -41,7 +41,7 @@
 	ctx, l.stop = context.WithCancel(ctx)
 	for i, id := range []string{"e1", "e4"} {
 		n := s.Edge(id).Node
-		t := &storeclient.Client{Peer: n.Peer, Cluster: n.Cluster, Proposer: n.Proposer}
+		t := storeclient.New(n.Peer, n.Cluster, n.Proposer)
 		l.tiers = append(l.tiers, t)
 		l.wait.Go(func() { l.write(ctx, t, i) })
 	}
@@ -361,7 +361,7 @@
 	selfManaged(t, 100, func(ctx context.Context, s *sim.Sim) {
 		const blobs, size = 400, 64 << 10
 		n := s.Edge("e1").Node
-		stores := &storeclient.Client{Peer: n.Peer, Cluster: n.Cluster, Proposer: n.Proposer}
+		stores := storeclient.New(n.Peer, n.Cluster, n.Proposer)
 		for i := range blobs {
 			val := []byte(strings.Repeat(fmt.Sprintf("%08d", i), size/8))
 			if err := stores.PutBlob(ctx, fmt.Sprint("turn/full", i), val, time.Hour); err != nil {
