--- a/internal/dataplane/cooldown/manager.go
+++ b/internal/dataplane/cooldown/manager.go
@@ -82,6 +82,7 @@
 		wakeup:       loop.NewWakeup(),
 	}
 	n.Broadcast.Handle(keys.CooldownTopic, manager.onBroadcast)
+	n.Peer.Observe = manager.observeAnswer
 	return manager
 }
 
--- a/internal/kit/checker/checker_test.go
+++ b/internal/kit/checker/checker_test.go
@@ -79,6 +79,23 @@
 	return c
 }
 
+// exchangedRefusal adds a refusal by one runner of a call that was sent to another's address.
+func exchangedRefusal(c *checker.Case, by, calledAt int) {
+	c.Spec.Runners[0].Addr, c.Spec.Runners[1].Addr = "127.0.0.1:1", "127.0.0.1:2"
+	c.Runs = append(c.Runs, checker.Run{
+		Runner: c.Spec.Runners[by],
+		Entry: runner.Entry{
+			Job:      "j9",
+			Work:     "w9",
+			Addr:     c.Spec.Runners[calledAt].Addr,
+			Arrived:  at(4100),
+			Refused:  true,
+			Wait:     time.Second,
+			Answered: at(4110),
+		},
+	})
+}
+
 // TestEachBreach feeds the judge one breach of each kind and sees it caught,
 // and nothing else with it.
 func TestEachBreach(t *testing.T) {
@@ -202,6 +219,12 @@
 				},
 			)
 		}},
+		{0, "the refusal was of a call meant for another, which had this one's address before", func(c *checker.Case) {
+			exchangedRefusal(c, 0, 1)
+		}},
+		{checker.Early, "called within a wait of its address, where another answered", func(c *checker.Case) {
+			exchangedRefusal(c, 1, 0)
+		}},
 		{checker.Early, "left sleeping", func(c *checker.Case) {
 			c.Runs = append(
 				c.Runs[:10:10],
--- a/internal/kit/checker/cooldowns.go
+++ b/internal/kit/checker/cooldowns.go
@@ -21,7 +21,7 @@
 	out := map[string][]wait{}
 	for _, r := range c.Runs {
 		if r.Refused {
-			k := cooldown.Key(c.Spec, r.Runner)
+			k := c.calledKey(r)
 			out[k] = append(out[k], wait{r.Answered, r.Answered.Add(max(r.Wait, c.Spec.Cooldown.First()))})
 		}
 	}
@@ -51,7 +51,7 @@
 func (c *Case) lengthened(key string, at time.Time) bool {
 	var refused time.Time
 	for _, r := range c.Runs {
-		if r.Refused && !r.Answered.After(at) && cooldown.Key(c.Spec, r.Runner) == key && r.Answered.After(refused) {
+		if r.Refused && !r.Answered.After(at) && c.calledKey(r) == key && r.Answered.After(refused) {
 			refused = r.Answered
 		}
 	}
@@ -98,7 +98,7 @@
 		if !r.Refused {
 			continue
 		}
-		k := cooldown.Key(c.Spec, r.Runner)
+		k := c.calledKey(r)
 		s := now[k]
 		if s == nil {
 			s = &state{}
@@ -119,6 +119,18 @@
 	return out
 }
 
+// calledKey is the cooldown key of the runner that a call was meant for: whose address it
+// was sent to. Where two have exchanged their addresses it reaches the other one, which
+// the caller can't know, and whose own key it was not checked against.
+func (c *Case) calledKey(r Run) string {
+	for _, called := range c.Spec.Runners {
+		if r.Addr != "" && called.Addr == r.Addr {
+			return cooldown.Key(c.Spec, called)
+		}
+	}
+	return cooldown.Key(c.Spec, r.Runner)
+}
+
 // keys are the cooldown keys of a route's runners.
 func (c *Case) keys(route string) []string {
 	var out []string
@@ -146,7 +158,7 @@
 // who can't outlast the wait is left sleeping.
 func (c *Case) cooldowns(v Verdict) {
 	for _, r := range c.Runs {
-		if end := c.until(cooldown.Key(c.Spec, r.Runner), r.Arrived, inFlight); r.Arrived.Before(end) {
+		if end := c.until(c.calledKey(r), r.Arrived, inFlight); r.Arrived.Before(end) {
 			v.add(
 				Early,
 				"%s was called at %s for %s, %s before the end of a wait%s",
--- a/internal/kit/runner/runner.go
+++ b/internal/kit/runner/runner.go
@@ -44,6 +44,7 @@
 // Entry is one line of the log.
 type Entry struct {
 	Job, Work, Program string
+	Addr               string // where its caller sent it; another runner may have been there before
 	Arrived            time.Time
 	Ran                bool // the work was done
 	Output             int64
@@ -236,7 +237,7 @@
 		http.Error(w, "{}", http.StatusBadRequest)
 		return
 	}
-	e := Entry{Job: j.Job, Work: Work(j.Prompt), Program: j.Program, Arrived: time.Now()}
+	e := Entry{Job: j.Job, Work: Work(j.Prompt), Program: j.Program, Addr: q.Host, Arrived: time.Now()}
 	r.mu.Lock()
 	o, admitted := r.admit(&e, j.Incarnation)
 	if !admitted {
