--- a/internal/coordination/peer/peer.go
+++ b/internal/coordination/peer/peer.go
@@ -28,11 +28,6 @@
 	Self              wire.Member   // as it was at start
 	Partitions        *transport.Partitions
 	Log               hclog.Logger
-	// Annotate adds to each good answer what this process tells whoever asks; Observe
-	// sees each good answer to a call, and when that was made. Both are set before Serve
-	// and may be nil.
-	Annotate func(q *wire.Req, r *wire.Resp)
-	Observe  func(addr string, q *wire.Req, asked time.Time, r *wire.Resp)
 
 	hub      *transport.Hub
 	net      transport.Net
@@ -167,9 +162,6 @@
 	} else if r == nil {
 		r = wire.OKResponse()
 	}
-	if err == nil && peer.Annotate != nil {
-		peer.Annotate(q, r)
-	}
 	r.Ver = wire.Version
 	b, err := wire.Encode(r)
 	if err != nil {
@@ -217,7 +209,6 @@
 	if err != nil {
 		return nil, err
 	}
-	asked := time.Now()
 	b, err := peer.hub.Call(ctx, addr, body)
 	if err != nil {
 		return nil, err
@@ -226,13 +217,7 @@
 	if err := wire.Decode(b, r); err != nil {
 		return nil, err
 	}
-	if err := r.Err(); err != nil {
-		return r, err
-	}
-	if peer.Observe != nil {
-		peer.Observe(addr, q, asked, r)
-	}
-	return r, nil
+	return r, r.Err()
 }
 
 // CallFor is Call with a deadline of its own.
--- a/internal/dataplane/cooldown/manager.go
+++ b/internal/dataplane/cooldown/manager.go
@@ -82,7 +82,6 @@
 		wakeup:       loop.NewWakeup(),
 	}
 	n.Broadcast.Handle(keys.CooldownTopic, manager.onBroadcast)
-	n.Peer.Observe = manager.observeAnswer
 	return manager
 }
 
--- a/internal/dataplane/cooldown/snapshot.go
+++ b/internal/dataplane/cooldown/snapshot.go
@@ -16,7 +16,7 @@
 // SnapshotParams are the times of the stores' snapshot, on which a node that passes many
 // jobs rests in place of a majority read for each.
 type SnapshotParams struct {
-	Interval    time.Duration // after a store's last answer, to whatever, until it is asked
+	Interval    time.Duration // between two askings
 	Timeout     time.Duration // deadline of one
 	MaxAge      time.Duration // an answer asked for longer ago is no word any more
 	IdleAfter   time.Duration // so long after the last job nobody is asked
@@ -39,7 +39,6 @@
 // snapshot is what the stores said of late. Desk.mu guards it.
 type snapshot struct {
 	answeredAt map[register.Replica]time.Time // when the newest answer was asked for
-	polledAt   map[register.Replica]time.Time // when it was last asked
 	observed   map[string]*observed           // by cooldown key
 
 	// freshStores are the stores whose answers are recent, until one of them isn't; ok is
@@ -49,6 +48,7 @@
 	version     uint64
 	majority    map[string]bool
 
+	lastPoll time.Time // last
 	lastUsed time.Time // by a job, last
 	reads    map[string]*sharedRead
 	// lastFailure is when a read last failed, fails how many did in a row.
@@ -72,7 +72,6 @@
 func newSnapshot() snapshot {
 	return snapshot{
 		answeredAt: map[register.Replica]time.Time{},
-		polledAt:   map[register.Replica]time.Time{},
 		observed:   map[string]*observed{},
 		majority:   map[string]bool{},
 		reads:      map[string]*sharedRead{},
@@ -133,14 +132,6 @@
 	}
 }
 
-// observeAnswer takes a store's answer to another request, where that says that nothing
-// cools there.
-func (manager *Manager) observeAnswer(addr string, q *wire.Req, asked time.Time, r *wire.Resp) {
-	if r.NoCooldowns {
-		manager.recordAnswer(register.Replica{Addr: addr, Ident: q.Ident}, asked, nil)
-	}
-}
-
 // isFresh reports whether a majority of a key's holders have answered of late.
 func (manager *Manager) isFresh(key string) bool {
 	w, v, now := &manager.snapshot, manager.node.Cluster.Now(), time.Now()
@@ -180,10 +171,14 @@
 
 // RunSnapshot keeps the stores' snapshot recent while there are jobs, until ctx ends.
 func (manager *Manager) RunSnapshot(ctx context.Context) {
-	loop.Every(ctx, manager.params.Snapshot.Interval/2, manager.wakeup, func(ctx context.Context) {
+	loop.Every(ctx, manager.params.Snapshot.Interval, manager.wakeup, func(ctx context.Context) {
 		now := time.Now()
 		manager.mu.Lock()
-		due := now.Sub(manager.snapshot.lastUsed) < manager.params.Snapshot.IdleAfter
+		due := now.Sub(manager.snapshot.lastUsed) < manager.params.Snapshot.IdleAfter &&
+			now.Sub(manager.snapshot.lastPoll) >= manager.params.Snapshot.Interval/2
+		if due {
+			manager.snapshot.lastPoll = now
+		}
 		manager.mu.Unlock()
 		if due {
 			manager.pollAll(ctx, manager.node.Cluster.Now(), now)
@@ -191,13 +186,12 @@
 	})
 }
 
-// pollAll asks every store that has not answered or been asked of late, all at once, and
-// waits for none.
+// pollAll asks every store at once and waits for none.
 func (manager *Manager) pollAll(ctx context.Context, v *cluster.View, asked time.Time) {
 	seen := map[string]bool{}
 	ctx = register.WithVersion(ctx, v.Version, false)
 	for _, m := range slices.Concat(v.Cluster.Stores, v.NextStores) {
-		if m.Ident == "" || seen[m.Ident] || !manager.claimPoll(register.Replica{Addr: m.Addr, Ident: m.Ident}, asked) {
+		if m.Ident == "" || seen[m.Ident] {
 			continue
 		}
 		seen[m.Ident] = true
@@ -205,18 +199,6 @@
 	}
 }
 
-// claimPoll reports whether a store is due to be asked, and marks it as asked.
-func (manager *Manager) claimPoll(r register.Replica, now time.Time) bool {
-	manager.mu.Lock()
-	defer manager.mu.Unlock()
-	w, recent := &manager.snapshot, now.Add(-manager.params.Snapshot.Interval)
-	if w.answeredAt[r].After(recent) || w.polledAt[r].After(recent) {
-		return false
-	}
-	w.polledAt[r] = now
-	return true
-}
-
 func (manager *Manager) pollStore(ctx context.Context, m spec.Machine, asked time.Time) {
 	q := &wire.Req{Ident: m.Ident, Op: &wire.Req_Cools{Cools: &wire.Cools{}}}
 	register.SetVersion(ctx, q)
@@ -437,11 +419,6 @@
 			delete(manager.snapshot.reads, k)
 		}
 	}
-	for r, at := range manager.snapshot.polledAt {
-		if now.Sub(at) > time.Minute {
-			delete(manager.snapshot.polledAt, r)
-		}
-	}
 	for k, g := range manager.gates {
 		if g.inFlight == 0 && manager.remaining(k) <= 0 && now.Sub(g.used) > quiet {
 			delete(manager.gates, k)
--- a/internal/dataplane/cooldown/snapshot_test.go
+++ b/internal/dataplane/cooldown/snapshot_test.go
@@ -157,56 +157,6 @@
 	})
 }
 
-// TestAnswersCount: while a node has other business at the stores, their answers keep its
-// snapshot recent and it asks for cooldowns far less often; one that is written by another
-// node is known as soon as ever.
-func TestAnswersCount(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		net := memnet.New(1)
-		f := lay(t, ctx, 3, 2, func(addr string) transport.Net { return net.Host(addr) })
-		manager, other := f.desks[0], f.desks[1]
-		go manager.RunSnapshot(ctx)
-		client := storeclient.New(f.nodes[0].Peer, f.nodes[0].Cluster, f.nodes[0].Proposer)
-		// polls works for a while, and gives how often the stores were asked meanwhile.
-		polls := func(busy bool) uint64 {
-			before := manager.Stats().Polls
-			for range 50 {
-				if busy {
-					if err := client.PutBlob(ctx, "turn/x", []byte("x"), time.Minute); err != nil {
-						t.Fatal(err)
-					}
-				}
-				time.Sleep(100 * time.Millisecond)
-				if n := reads(ctx, manager, 20); n != 0 {
-					t.Fatalf("%d looks, busy %v", n, busy)
-				}
-			}
-			return manager.Stats().Polls - before
-		}
-		manager.Remaining(ctx, "runner/x", time.Second)
-		time.Sleep(300 * time.Millisecond)
-		if idle, busy := polls(false), polls(true); busy > idle/5 || idle < 50 {
-			t.Errorf("%d askings of stores without other business, %d with", idle, busy)
-		}
-		at := time.Now()
-		other.RecordRefusal(ctx, "runner/x", 5*time.Second)
-		for manager.Remaining(ctx, "runner/x", time.Second) == 0 {
-			if err := client.PutBlob(ctx, "turn/x", []byte("x"), time.Minute); err != nil {
-				t.Fatal(err)
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
-		if d := time.Since(at); d > cooldown.DefaultSnapshot.MaxAge {
-			t.Errorf("known after %s", d)
-		}
-		stop()
-		f.close()
-		time.Sleep(time.Minute)
-	})
-}
-
 // TestClear: what one manager writes another keeps to, by the snapshot or by a read; what
 // is left is never less than what the refusal asked for.
 func TestClear(t *testing.T) {
--- a/internal/dataplane/store/cooldowns.go
+++ b/internal/dataplane/store/cooldowns.go
@@ -104,9 +104,3 @@
 	}
 	return &wire.Resp{Op: &wire.Resp_Cools{Cools: &wire.CoolsAck{Cools: s.cool.left()}}}, nil
 }
-
-// annotate says with any answer that nothing cools here, where that is so: an edge that
-// has been answered need not ask for the cooldowns as well.
-func (s *Store) annotate(q *wire.Req, r *wire.Resp) {
-	r.NoCooldowns = q.Ident != "" && q.Spec > 0 && core.CheckVersion(s.Node, q) == nil && len(s.cool.left()) == 0
-}
--- a/internal/dataplane/store/store.go
+++ b/internal/dataplane/store/store.go
@@ -59,7 +59,6 @@
 		},
 	)
 	s.Lease.Status = v.Status
-	s.Peer.Annotate = s.annotate
 	s.Peer.Handle(&wire.Req_Put{}, s.put)
 	s.Peer.Handle(&wire.Req_Get{}, s.get)
 	s.Peer.Handle(&wire.Req_Cools{}, s.cools)
