--- a/cmd/damsontiller-mutants/main.go
+++ b/cmd/damsontiller-mutants/main.go
@@ -1,6 +1,7 @@
 // Command damsontiller-mutants shows that tests hold the mechanisms they claim to hold: it takes
 // a list of mutants, each of which switches one mechanism off, applies them one after
-// the other to a scratch copy of the tree, and runs the test that should fail.
+// the other to a scratch copy of the tree, and runs the test that should fail. Its command
+// ablate writes copies of the tree without one mechanism of decision each, to be measured.
 package main
 
 import (
@@ -26,6 +27,9 @@
 }
 
 func run(args []string) error {
+	if len(args) > 0 && args[0] == "ablate" {
+		return ablate(args[1:])
+	}
 	flags := flag.NewFlagSet("damsontiller-mutants", flag.ExitOnError)
 	root := flags.String("root", ".", "the tree, which is only read")
 	list := flags.String("list", "docs/mutants.toml", "the list of mutants")
--- a/cmd/damsontiller-mutants/mutant.go
+++ b/cmd/damsontiller-mutants/mutant.go
@@ -33,32 +33,51 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return nil, fmt.Errorf("%s: unknown field %s", path, unknown[0])
 	}
+	return list.Mutants, checkEach(path, "mutant", list.Mutants, (*Mutant).check)
+}
+
+// checkEach checks every entry of a list, of mutants or of ablations, and that no two have
+// one name.
+func checkEach(path, kind string, entries []Mutant, check func(*Mutant) error) error {
 	seen := map[string]bool{}
-	for i, m := range list.Mutants {
-		if err := m.check(); err != nil {
-			return nil, fmt.Errorf("%s: mutant %d (%s): %w", path, i+1, m.Name, err)
+	for i := range entries {
+		m := &entries[i]
+		if err := check(m); err != nil {
+			return fmt.Errorf("%s: %s %d (%s): %w", path, kind, i+1, m.Name, err)
 		}
 		if seen[m.Name] {
-			return nil, fmt.Errorf("%s: two mutants are named %s", path, m.Name)
+			return fmt.Errorf("%s: two %ss are named %s", path, kind, m.Name)
 		}
 		seen[m.Name] = true
 	}
-	return list.Mutants, nil
+	return nil
 }
 
-func (m *Mutant) check() error {
-	for _, field := range []struct{ name, value string }{
-		{"name", m.Name},
-		{"mechanism", m.Mechanism},
-		{"file", m.File},
-		{"old", m.Old},
-		{"package", m.Package},
-		{"test", m.Test},
-	} {
-		if field.value == "" {
-			return fmt.Errorf("%s is missing", field.name)
+// field is one of an entry's fields by its name in the list.
+type field struct{ name, value string }
+
+func missing(fields ...field) error {
+	for _, f := range fields {
+		if f.value == "" {
+			return fmt.Errorf("%s is missing", f.name)
 		}
 	}
+	return nil
+}
+
+func (m *Mutant) check() error {
+	if err := missing(field{"package", m.Package}, field{"test", m.Test}); err != nil {
+		return err
+	}
+	return m.checkChange()
+}
+
+// checkChange checks what is changed, without the test.
+func (m *Mutant) checkChange() error {
+	err := missing(field{"name", m.Name}, field{"mechanism", m.Mechanism}, field{"file", m.File}, field{"old", m.Old})
+	if err != nil {
+		return err
+	}
 	if !filepath.IsLocal(m.File) {
 		return fmt.Errorf("file %q lies outside the tree", m.File)
 	}
--- a/cmd/damsontiller-mutants/mutants_test.go
+++ b/cmd/damsontiller-mutants/mutants_test.go
@@ -193,3 +193,44 @@
 		t.Error(out.String())
 	}
 }
+
+// TestAblate: each mechanism of the list gets a copy of the tree without it, and the tree
+// stays as it is; what can't be applied, or would overwrite a copy, is said.
+func TestAblate(t *testing.T) {
+	root, out := tree(t), t.TempDir()
+	list := filepath.Join(out, "list.toml")
+	entry := "[[ablation]]\nname = \"%\"\nmechanism = \"m\"\nfile = \"fence/fence.go\"\nold = \"On = true\"\nnew = \"On = false\"\n"
+	text := strings.ReplaceAll(entry, "%", "one") + strings.ReplaceAll(entry, "%", "two")
+	if err := os.WriteFile(list, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	args := []string{"ablate", "-root", root, "-list", list, "-out", out, "-only", "two"}
+	if err := run(args); err != nil {
+		t.Fatal(err)
+	}
+	if got := content(t, filepath.Join(out, "two")); !strings.Contains(got, "On = false") {
+		t.Errorf("the copy holds %q", got)
+	}
+	if content(t, root) != original {
+		t.Error("the tree was changed")
+	}
+	if _, err := os.Stat(filepath.Join(out, "one")); !os.IsNotExist(err) {
+		t.Errorf("a copy that was not asked for: %v", err)
+	}
+	if err := run(args); err == nil {
+		t.Error("a copy was overwritten")
+	}
+	for name, bad := range map[string]string{
+		"twice":      strings.ReplaceAll(entry, "%", "a") + strings.ReplaceAll(entry, "%", "a"),
+		"no name":    strings.ReplaceAll(entry, "%", ""),
+		"other text": strings.ReplaceAll(strings.ReplaceAll(entry, "%", "b"), "On = true", "Off"),
+		"unknown":    strings.ReplaceAll(entry, "%", "c") + "more = 1\n",
+	} {
+		if err := os.WriteFile(list, []byte(bad), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := run([]string{"ablate", "-root", root, "-list", list, "-out", out}); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
