--- a/internal/proto/register/value_test.go
+++ b/internal/proto/register/value_test.go
@@ -45,6 +45,20 @@
 	return v, register.Set{group}
 }
 
+func (v *voters) setDown(addr string, down bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.down[addr] = down
+}
+
+func (v *voters) setDelay(delay time.Duration, addrs ...string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, addr := range addrs {
+		v.delay[addr] = delay
+	}
+}
+
 func (v *voters) call(ctx context.Context, addr string, q *wire.Req) (*wire.Resp, error) {
 	v.mu.Lock()
 	down, delay := v.down[addr], v.delay[addr]
@@ -175,16 +189,14 @@
 		if _, err := p.Change(t.Context(), set, valueKey, put("old")); err != nil {
 			t.Fatal(err)
 		}
-		v.down["a4"] = true
+		v.setDown("a4", true)
 		if _, err := p.Change(t.Context(), set, valueKey, put("new")); err != nil {
 			t.Fatal(err)
 		}
 		v.counted()
 		// The one that lags is the fastest now.
-		v.down["a4"] = false
-		for _, addr := range []string{"a0", "a1", "a2", "a3"} {
-			v.delay[addr] = 2 * time.Millisecond
-		}
+		v.setDown("a4", false)
+		v.setDelay(2*time.Millisecond, "a0", "a1", "a2", "a3")
 		st, err := register.NewProposer(2, v.call).Read(t.Context(), set, valueKey)
 		if err != nil || string(st.Value) != "new" {
 			t.Fatalf("%q, %v", st.Value, err)
