--- a/internal/transport/memnet/memnet.go
+++ b/internal/transport/memnet/memnet.go
@@ -1,5 +1,5 @@
 // Package memnet is a network in memory for tests: addresses, refused ports,
-// cuts, delays and lost connections under a seed.
+// cuts, delays, links of a bandwidth, and lost connections under a seed.
 package memnet
 
 import (
@@ -24,6 +24,14 @@
 	delay       time.Duration
 	lossy       int // of a hundred writes, so many are lost once and sent again
 	ice         map[string]chan struct{}
+	links       map[string]*link
+}
+
+// link is what a host's own link has carried, and when it is free again.
+type link struct {
+	bytesPerSecond int // 0: any number
+	freeAt         time.Time
+	carried        int64
 }
 
 // New makes a network whose chances follow seed.
@@ -33,7 +41,57 @@
 		partitioned: map[[2]string]bool{},
 		rnd:         rand.New(rand.NewPCG(seed, 1)),
 		ice:         map[string]chan struct{}{},
+		links:       map[string]*link{},
+	}
+}
+
+// Bandwidth bounds what a host's own link carries a second, sent and received together;
+// what is more waits its turn. 0 lifts the bound.
+func (n *Net) Bandwidth(host string, bytesPerSecond int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.link(host).bytesPerSecond = bytesPerSecond
+}
+
+// Carried is how many bytes a host's own link has carried.
+func (n *Net) Carried(host string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.link(host).carried
+}
+
+// link is a host's own link. n.mu is held.
+func (n *Net) link(host string) *link {
+	l := n.links[host]
+	if l == nil {
+		l = &link{}
+		n.links[host] = l
+	}
+	return l
+}
+
+// transmit puts so many bytes on the links of two hosts, and gives how long they take with
+// all that waits there already.
+func (n *Net) transmit(from, to string, size int) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	done := now
+	for _, host := range []string{from, to} {
+		l := n.link(host)
+		l.carried += int64(size)
+		if l.bytesPerSecond <= 0 {
+			continue
+		}
+		if l.freeAt.Before(now) {
+			l.freeAt = now
+		}
+		l.freeAt = l.freeAt.Add(time.Duration(size) * time.Second / time.Duration(l.bytesPerSecond))
+		if l.freeAt.After(done) {
+			done = l.freeAt
+		}
 	}
+	return done.Sub(now)
 }
 
 // Delay makes every write take up to d.
@@ -169,7 +227,7 @@
 
 func (c *conn) Write(b []byte) (int, error) {
 	c.n.Stand(c.from)
-	if d := c.n.pause(); d > 0 {
+	if d := c.n.pause() + c.n.transmit(c.from, c.to, len(b)); d > 0 {
 		loop.Wait(context.Background(), d)
 	}
 	// What is written into a partition is lost; the writer can't tell.
