--- a/internal/dataplane/cooldown/snapshot_test.go
+++ b/internal/dataplane/cooldown/snapshot_test.go
@@ -23,11 +23,11 @@
 	"damsontiller/internal/transport/memnet"
 )
 
-// fleet is some stores and the desks of some edges, without a core.
+// fleet is some stores and the cooldown managers of some edges, without a core.
 type fleet struct {
-	stores []*store.Store
-	desks  []*cooldown.Manager
-	nodes  []*node.Node
+	stores   []*store.Store
+	managers []*cooldown.Manager
+	nodes    []*node.Node
 }
 
 func lay(t testing.TB, ctx context.Context, stores, edges int, host func(addr string) transport.Net) *fleet {
@@ -78,8 +78,8 @@
 			t.Fatal(err)
 		}
 		f.nodes = append(f.nodes, n)
-		f.desks = append(
-			f.desks,
+		f.managers = append(
+			f.managers,
 			cooldown.New(
 				cooldown.DefaultParams,
 				n,
@@ -120,7 +120,7 @@
 		defer stop()
 		net := memnet.New(1)
 		f := lay(t, ctx, 9, 1, func(addr string) transport.Net { return net.Host(addr) })
-		manager := f.desks[0]
+		manager := f.managers[0]
 		go manager.RunSnapshot(ctx)
 		if n := reads(ctx, manager, 1); n != 1 {
 			t.Errorf("%d looks before any word", n)
@@ -165,7 +165,7 @@
 		defer stop()
 		net := memnet.New(1)
 		f := lay(t, ctx, 3, 3, func(addr string) transport.Net { return net.Host(addr) })
-		a, b, c := f.desks[0], f.desks[1], f.desks[2]
+		a, b, c := f.managers[0], f.managers[1], f.managers[2]
 		go b.RunSnapshot(ctx)
 		b.Remaining(ctx, "runner/x", time.Second)
 		time.Sleep(300 * time.Millisecond)
@@ -214,7 +214,7 @@
 		defer stop()
 		net := memnet.New(1)
 		f := lay(t, ctx, 3, 1, func(addr string) transport.Net { return net.Host(addr) })
-		manager := f.desks[0]
+		manager := f.managers[0]
 		go manager.RunSnapshot(ctx)
 		go manager.Run(ctx)
 		early, ok := manager.Admit(ctx, "k", time.Second)
@@ -274,8 +274,8 @@
 	})
 }
 
-// TestDispatcher: refusals seen by many desks in one moment are one step.
-func TestDispatcher(t *testing.T) {
+// TestSimultaneousRefusals: refusals seen by many managers in one moment are one step.
+func TestSimultaneousRefusals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
@@ -284,7 +284,7 @@
 		f := lay(t, ctx, 3, 64, func(addr string) transport.Net { return net.Host(addr) })
 		at := time.Now()
 		done := make(chan time.Duration, 64*5)
-		for _, manager := range f.desks {
+		for _, manager := range f.managers {
 			for range 5 {
 				go func() {
 					manager.RecordRefusal(ctx, "runner/x", 0)
@@ -298,7 +298,7 @@
 		}
 		time.Sleep(time.Second)
 		n, kept, rounds := uint64(0), 0, uint64(0)
-		for i, manager := range f.desks {
+		for i, manager := range f.managers {
 			n += manager.Installs()
 			rounds += f.nodes[i].Proposer.Rounds.Load()
 			if !manager.GateOpen("runner/x") {
@@ -322,7 +322,7 @@
 	defer stop()
 	f := lay(b, ctx, 3, 1, func(string) transport.Net { return transport.TCP(transport.DefaultParams) })
 	defer f.close()
-	manager := f.desks[0]
+	manager := f.managers[0]
 	go manager.RunSnapshot(ctx)
 	manager.Remaining(ctx, "runner/x", time.Second)
 	for manager.Stats().Polls < 6 {
--- a/internal/kit/sim/cooldown_test.go
+++ b/internal/kit/sim/cooldown_test.go
@@ -432,9 +432,9 @@
 	return v.Step, int(st.Version)
 }
 
-// TestCoolDispatcher: refusals of one moment, at all edges, are one step; the next one
+// TestSimultaneousRefusalsAtEdges: refusals of one moment, at all edges, are one step; the next one
 // is the second.
-func TestCoolDispatcher(t *testing.T) {
+func TestSimultaneousRefusalsAtEdges(t *testing.T) {
 	t.Parallel()
 	rawRun(
 		t,
