--- a/internal/coordination/storeclient/client_test.go
+++ b/internal/coordination/storeclient/client_test.go
@@ -27,7 +27,7 @@
 	asked  map[string]int // requests for a blob, by store
 	hellos map[string]int // of the whole spec, by store
 	holds  map[string]bool
-	silent map[string]bool
+	unresponsive map[string]bool
 	newer  *cluster.View // refuses whoever acts on an older one
 }
 
@@ -36,7 +36,7 @@
 // newStubs starts stores s0, s1, … in zones a, b, c in turn, and a client in zone b.
 func newStubs(t *testing.T, stores, copies int) (*stubStores, *storeclient.Client) {
 	t.Helper()
-	stubs := &stubStores{asked: map[string]int{}, hellos: map[string]int{}, holds: map[string]bool{}, silent: map[string]bool{}}
+	stubs := &stubStores{asked: map[string]int{}, hellos: map[string]int{}, holds: map[string]bool{}, unresponsive: map[string]bool{}}
 	network := memnet.New(1)
 	newPeer := func(id, zone, addr, ident string) *peer.Peer {
 		self := &wire.Member{Id: id, Zone: zone, Addr: addr, Ident: ident}
@@ -76,12 +76,12 @@
 func (s *stubStores) get(ctx context.Context, id string, q *wire.Req) (*wire.Resp, error) {
 	s.mu.Lock()
 	s.asked[id]++
-	silent, holds, newer := s.silent[id], s.holds[id], s.newer
+	unresponsive, holds, newer := s.unresponsive[id], s.holds[id], s.newer
 	s.mu.Unlock()
 	if newer != nil && q.Spec < newer.Version {
 		return nil, code.New(code.StaleSpec, "version %d", newer.Version)
 	}
-	if silent {
+	if unresponsive {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -118,7 +118,7 @@
 	for _, tc := range []struct {
 		name    string
 		holds   []string
-		silent  []string
+		unresponsive  []string
 		asked   int
 		most    int // may have been asked, where the first answer ends the asking; 0: asked
 		code    code.Code
@@ -126,10 +126,10 @@
 	}{
 		{name: "near", holds: []string{"s0", "s1", "s2"}, asked: 1, noSlack: true},
 		{name: "lacking", holds: []string{"s0", "s2"}, asked: 2, most: 3, noSlack: true},
-		{name: "silent", holds: []string{"s0", "s1", "s2"}, silent: []string{"s1"}, asked: 2, most: 3},
+		{name: "unresponsive", holds: []string{"s0", "s1", "s2"}, unresponsive: []string{"s1"}, asked: 2, most: 3},
 		{name: "absent", asked: 2, most: 3, code: code.NoTurn, noSlack: true},
-		{name: "one silent of none", silent: []string{"s1"}, asked: 3, code: code.NoTurn},
-		{name: "two silent of none", silent: []string{"s0", "s2"}, asked: 3, code: code.StoresUnreachable},
+		{name: "one unresponsive of none", unresponsive: []string{"s1"}, asked: 3, code: code.NoTurn},
+		{name: "two unresponsive of none", unresponsive: []string{"s0", "s2"}, asked: 3, code: code.StoresUnreachable},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -137,8 +137,8 @@
 				for _, id := range tc.holds {
 					stubs.holds[id] = true
 				}
-				for _, id := range tc.silent {
-					stubs.silent[id] = true
+				for _, id := range tc.unresponsive {
+					stubs.unresponsive[id] = true
 				}
 				ctx, stop := context.WithTimeout(t.Context(), time.Second)
 				defer stop()
--- a/internal/dataplane/cooldown/snapshot_test.go
+++ b/internal/dataplane/cooldown/snapshot_test.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// reads clears many keys at a desk and tells how many the word did not cover.
+// reads clears many keys at a manager and tells how many its snapshot did not cover.
 func reads(ctx context.Context, manager *cooldown.Manager, keys int) int {
 	n := 0
 	for i := range keys {
@@ -305,7 +305,7 @@
 				kept++
 			}
 		}
-		t.Logf("64 desks, 5 refusals each: %d written, %d rounds, the last job waited %s", n, rounds, last)
+		t.Logf("64 managers, 5 refusals each: %d written, %d rounds, the last job waited %s", n, rounds, last)
 		if n != 1 || last > cooldown.DefaultSnapshot.WriteWait+time.Millisecond {
 			t.Errorf("%d cooldowns written, the last after %s", n, last)
 		}
--- a/internal/proto/register/proposer.go
+++ b/internal/proto/register/proposer.go
@@ -77,8 +77,8 @@
 func (p *Proposer) Read(ctx context.Context, set Set, key string) (State, error) {
 	known := p.values.ballot(key)
 	request := func(Replica) *wire.Req {
-		look := &wire.Look{Key: key, Known: known, Head: true, AcceptsCompressed: true}
-		return &wire.Req{Op: &wire.Req_Look{Look: look}}
+		read := &wire.Look{Key: key, Known: known, Head: true, AcceptsCompressed: true}
+		return &wire.Req{Op: &wire.Req_Look{Look: read}}
 	}
 	// A voter that lags would have the value written back by every reader; those that
 	// don't are waited for a moment instead.
--- a/internal/proto/register/value_test.go
+++ b/internal/proto/register/value_test.go
@@ -62,7 +62,7 @@
 func (v *voters) call(ctx context.Context, addr string, q *wire.Req) (*wire.Resp, error) {
 	v.mu.Lock()
 	down, delay := v.down[addr], v.delay[addr]
-	if look := q.GetLook(); look != nil && !look.Head {
+	if read := q.GetLook(); read != nil && !read.Head {
 		delay += v.fetchDelay[addr]
 	}
 	v.mu.Unlock()
