--- a/internal/coordination/storeclient/client_test.go
+++ b/internal/coordination/storeclient/client_test.go
@@ -23,12 +23,12 @@
 
 // stubStores answer for blobs and count what they are asked.
 type stubStores struct {
-	mu     sync.Mutex
-	asked  map[string]int // requests for a blob, by store
-	hellos map[string]int // of the whole spec, by store
-	holds  map[string]bool
+	mu           sync.Mutex
+	asked        map[string]int // requests for a blob, by store
+	hellos       map[string]int // of the whole spec, by store
+	holds        map[string]bool
 	unresponsive map[string]bool
-	newer  *cluster.View // refuses whoever acts on an older one
+	newer        *cluster.View // refuses whoever acts on an older one
 }
 
 const stubZones = 3
@@ -116,13 +116,13 @@
 // only once a majority has said so.
 func TestNearestFirst(t *testing.T) {
 	for _, tc := range []struct {
-		name    string
-		holds   []string
-		unresponsive  []string
-		asked   int
-		most    int // may have been asked, where the first answer ends the asking; 0: asked
-		code    code.Code
-		noSlack bool // it takes no longer than the network does
+		name         string
+		holds        []string
+		unresponsive []string
+		asked        int
+		most         int // may have been asked, where the first answer ends the asking; 0: asked
+		code         code.Code
+		noSlack      bool // it takes no longer than the network does
 	}{
 		{name: "near", holds: []string{"s0", "s1", "s2"}, asked: 1, noSlack: true},
 		{name: "lacking", holds: []string{"s0", "s2"}, asked: 2, most: 3, noSlack: true},
