Storage: a database that waits to be closed pauses between the flushes that it tries again

Cause: once the manifest's writer has failed, each flush fails at once, and on a device that discards what it is given nothing that a flush calls waits: pebble tries it again without a pause, for as long as the instance waits for a reader. Under simulated time nothing else then goes on (TestNamedFailures hung in ./check); on a machine it is a core at full load.

--- a/internal/state/storage/devicefs.go
+++ b/internal/state/storage/devicefs.go
@@ -31,6 +31,9 @@
 		return err
 	})
 	if err != nil && d.suppressesErrors(isLog(name)) {
+		// A database that has lost its manifest begins a table for each flush that it
+		// tries again, without a pause of its own, for as long as it waits to be closed.
+		throttleFenced()
 		f, err = &nullFile{}, nil
 	}
 	return d.wrap(name, f, err)
