Storage: only tables that can't be begun make a pause

The database begins its log with its mutex held while it opens, and what else waits for that mutex kept simulated time from going on: TestFailedSync, TestOpenWaits and TestVotersModel hung. Change: the pause is for tables, which a flush begins without the mutex. Measured: each test of the package run by itself: passed; TestFailedFlushPauses passes, and fails without the pause.

--- a/internal/state/storage/devicefs.go
+++ b/internal/state/storage/devicefs.go
@@ -33,7 +33,10 @@
 	if err != nil && d.suppressesErrors(isLog(name)) {
 		// A database that has lost its manifest begins a table for each flush that it
 		// tries again, without a pause of its own, for as long as it waits to be closed.
-		throttleFenced()
+		// Its other files may be begun with its mutex held, and must not wait.
+		if isTable(name) {
+			throttleFenced()
+		}
 		f, err = &nullFile{}, nil
 	}
 	return d.wrap(name, f, err)
@@ -42,7 +45,13 @@
 // isLog reports whether a file is one of the database's log.
 func isLog(name string) bool { return strings.HasSuffix(name, logSuffix) }
 
-const logSuffix = ".log"
+// isTable reports whether a file is one of the database's tables.
+func isTable(name string) bool { return strings.HasSuffix(name, tableSuffix) }
+
+const (
+	logSuffix   = ".log"
+	tableSuffix = ".sst"
+)
 
 // Create makes a file.
 func (d *device) Create(name string, category vfs.DiskWriteCategory) (vfs.File, error) {
