Ballots promised ahead, orders and reads of cooldowns end by a clock that goes on in suspension

Cause: the monotonic clock stands still with a suspended virtual machine. One that wakes could use a ballot promised ahead though voters had let the key's state go, carry out an order without a number that had lain unread, and call a runner by a read that was long over. Change: package clock: a moment by both clocks, and the time since by whichever says more. Prepared ballots, the contact tracker of a core and the read before a call use it; the age of a timed cell stays monotonic, since it must not be counted too long.

--- a/internal/coordination/core/contact.go
+++ b/internal/coordination/core/contact.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
+	"damsontiller/internal/transport/clock"
 	"damsontiller/internal/transport/code"
 )
 
@@ -28,45 +29,51 @@
 // contactTracker remembers when a process was last out of contact with a majority, or
 // paused.
 type contactTracker struct {
-	start     time.Time    // what the times below are counted from
-	lastCheck atomic.Int64 // the last check
-	lastLost  atomic.Int64 // when it was last found out of contact; 0: never
+	mu        sync.Mutex
+	lastCheck clock.Moment // the last check; zero: there was none
+	lastLost  time.Time    // when it was last found out of contact; zero: never
 }
 
 // check is called regularly; valid reports whether this core's lease runs.
-func (t *contactTracker) check(now time.Time, valid bool) {
-	at := int64(now.Sub(t.start))
-	last := t.lastCheck.Swap(at)
-	if !valid || last > 0 && at-last > int64(contactGap) {
-		t.lastLost.Store(max(at, 1))
+func (t *contactTracker) check(now clock.Moment, valid bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !valid || t.paused(now) {
+		t.lastLost = now.Monotonic()
 	}
+	t.lastCheck = now
+}
+
+// paused reports whether the process stood still since the last check. The machine may have
+// been suspended, which the monotonic clock does not show.
+func (t *contactTracker) paused(now clock.Moment) bool {
+	return !t.lastCheck.IsZero() && now.Sub(t.lastCheck) > contactGap
 }
 
 // established reports whether the process has been in contact for long enough.
-func (t *contactTracker) established(now time.Time, valid bool) bool {
-	at := int64(now.Sub(t.start))
-	last, lost := t.lastCheck.Load(), t.lastLost.Load()
-	switch {
-	case !valid:
-		return false
-	case last > 0 && at-last > int64(contactGap):
+func (t *contactTracker) established(now clock.Moment, valid bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !valid || t.paused(now) {
 		return false
 	}
-	return lost == 0 || at-lost > int64(contactStableAfter)
+	return t.lastLost.IsZero() || now.Monotonic().Sub(t.lastLost) > contactStableAfter
 }
 
+// moment is the present one by this core's clocks.
+func (c *Core) moment() clock.Moment { return clock.Now(c.Proposer.Clock) }
+
 // checkContact is the background task that updates the contact tracker.
-func (c *Core) checkContact(context.Context) { c.contact.check(time.Now(), c.Lease.Valid()) }
+func (c *Core) checkContact(context.Context) { c.contact.check(c.moment(), c.Lease.Valid()) }
 
 // InContact rejects, for the moment, an order that may be an old one: this core is or was
 // just out of contact, or the order's time is over. The error has code.OutOfContact.
 func (c *Core) InContact(ctx context.Context) error {
 	deadline, bounded := ctx.Deadline()
-	now := time.Now()
-	if bounded && now.After(deadline) {
+	if bounded && time.Now().After(deadline) {
 		return code.New(code.OutOfContact, "the order's time is over")
 	}
-	if !c.contact.established(now, c.Lease.Valid()) {
+	if !c.contact.established(c.moment(), c.Lease.Valid()) {
 		return code.New(code.OutOfContact, "%s was out of touch a moment ago", c.Peer.Self.Id)
 	}
 	return nil
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -96,7 +96,6 @@
 func New(p Params, np node.Params, d Disk) (*Core, error) {
 	np.Persist = PersistCluster(d.SaveMetadata)
 	c := &Core{params: p, disk: d, acceptor: register.NewAcceptor(d), Node: node.New(np), startedAt: time.Now()}
-	c.contact.start = c.startedAt
 	c.reconciler.wakeups = map[membership.Set]loop.Wakeup{
 		membership.Cores:  c.Cluster.Watch(),
 		membership.Stores: c.Cluster.Watch(),
--- a/internal/coordination/core/retire_test.go
+++ b/internal/coordination/core/retire_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"damsontiller/internal/coordination/membership"
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/proto/wire"
+	"damsontiller/internal/transport/clock"
 	"damsontiller/internal/transport/code"
 )
 
@@ -141,17 +143,26 @@
 }
 
 // TestTouch: a process is steady only a second after it was last out of contact or
-// stood still.
+// stood still, whether its monotonic clock stood still with it or not.
 func TestTouch(t *testing.T) {
+	synctest.Test(t, testTouch)
+}
+
+func testTouch(t *testing.T) {
 	start := time.Now()
-	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	// Of a suspended machine the time of day alone goes on.
+	var suspended time.Duration
+	at := func(ms int) clock.Moment {
+		time.Sleep(time.Until(start.Add(time.Duration(ms) * time.Millisecond)))
+		return clock.Now(func() time.Time { return time.Now().Add(suspended) })
+	}
 	check := func(tc *contactTracker, ms int, valid, want bool) {
 		t.Helper()
 		if got := tc.established(at(ms), valid); got != want {
 			t.Errorf("at %d ms, lease %t: steady %t", ms, valid, got)
 		}
 	}
-	tracker := &contactTracker{start: start}
+	tracker := &contactTracker{}
 	for ms := 500; ms <= 2000; ms += 500 {
 		tracker.check(at(ms), true)
 	}
@@ -171,6 +182,17 @@
 	check(tracker, 25400, true, false)
 	tracker.check(at(25500), true)
 	check(tracker, 25501, true, true)
+	// It was suspended: seen before the next check, and after it.
+	suspended = time.Minute
+	check(tracker, 25600, true, false)
+	tracker.check(at(26000), true)
+	for ms := 26500; ms <= 28000; ms += 500 {
+		tracker.check(at(ms), true)
+		check(tracker, ms+1, true, ms+1 > 27000)
+	}
+	// Its time of day was set back.
+	suspended = -time.Hour
+	check(tracker, 28100, true, true)
 }
 
 // TestAdmitRefusals: who is away or unknown at the moment, and who can't be admitted.
--- a/internal/dataplane/request/call/call.go
+++ b/internal/dataplane/request/call/call.go
@@ -19,6 +19,7 @@
 	"damsontiller/internal/dataplane/request/job"
 	"damsontiller/internal/dataplane/request/retry"
 	"damsontiller/internal/dataplane/request/runnerapi"
+	"damsontiller/internal/transport/clock"
 	"damsontiller/internal/transport/code"
 )
 
@@ -78,7 +79,7 @@
 // waits there; where it does not, the caller is notified at once.
 func (p Cool) Do(c *job.Ctx, next job.Next) job.Answer {
 	c.At(job.Picked)
-	c.Looked = time.Now()
+	c.Looked = clock.Now(time.Now)
 	w, ver, err := p.Cooldowns.Read(c, c.Runner.Cool)
 	if err != nil {
 		// Calling early must never happen; not calling is allowed.
@@ -114,7 +115,7 @@
 	switch w := p.Cooldowns.KnownWait(r.Cool); {
 	case c.Err() != nil, c.Left() <= 0:
 		return job.Bad(code.DeadlinePassed, "no time is left, or the caller has disconnected"), false
-	case time.Since(c.Looked) > storeclient.ReadWindow:
+	case clock.Since(c.Looked, time.Now) > storeclient.ReadWindow:
 		return back("the read of the cooldown is too old")
 	case p.Cooldowns.Spec() != c.Ver:
 		return back("the spec has changed since the read")
--- a/internal/dataplane/request/job/job.go
+++ b/internal/dataplane/request/job/job.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"damsontiller/internal/coordination/cluster"
+	"damsontiller/internal/transport/clock"
 	"damsontiller/internal/transport/code"
 )
 
@@ -54,7 +55,7 @@
 	Whys  []Why
 	// Looked is when the read at its cooldown was asked for, Ver the spec it was
 	// answered under: what the pass rests on.
-	Looked time.Time
+	Looked clock.Moment
 	Ver    uint64
 	// ClaimVer is the claim's version as read at ingress; Started tells that it
 	// says 'started' for this job, Sure that no request with its key that came
--- a/internal/proto/register/change.go
+++ b/internal/proto/register/change.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsontiller/internal/proto/wire"
+	"damsontiller/internal/transport/clock"
 	"damsontiller/internal/transport/code"
 	"damsontiller/internal/transport/loop"
 )
@@ -87,7 +88,7 @@
 // with a newer spec refuses to prepare it, but accepts what was prepared before.
 func (c *change) inOneRound(ctx context.Context) (State, bool) {
 	p := c.proposer
-	a := p.prepared.take(c.key, c.set)
+	a := p.prepared.take(c.key, c.set, clock.Now(p.Clock))
 	s, _ := ctx.Value(senderVersionKey{}).(senderVersion)
 	if a == nil || c.update == nil || s.strict || ctx.Err() != nil {
 		return State{}, false
@@ -200,7 +201,9 @@
 		}
 	}
 	if set.Quorum(promised) {
-		p.prepared.put(&preparedBallot{key: key, set: set, ballot: next, cell: proposed.cell, preparedAt: time.Now()})
+		p.prepared.put(&preparedBallot{
+			key: key, set: set, ballot: next, cell: proposed.cell, preparedAt: clock.Now(p.Clock),
+		})
 	}
 	return true, false
 }
--- a/internal/proto/register/prepared.go
+++ b/internal/proto/register/prepared.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damsontiller/internal/proto/wire"
+	"damsontiller/internal/transport/clock"
 )
 
 // preparedBallot lets a proposer change a key in one round: a ballot of its own that a
@@ -19,7 +20,7 @@
 	set        Set
 	ballot     *wire.Ballot
 	cell       *wire.Cell
-	preparedAt time.Time // once the quorum had answered
+	preparedAt clock.Moment // once the quorum had answered
 }
 
 // next is the cell that f makes of the one accepted last.
@@ -29,7 +30,7 @@
 		// A quorum held the cell before its answers came here. So our own count since
 		// then is never more than the time it has been held: a lower bound, as the
 		// acceptors' own counts are, and one that their restarts don't undo.
-		st.Age = time.Since(a.preparedAt)
+		st.Age = time.Since(a.preparedAt.Monotonic())
 	}
 	value, timed, err := f(st)
 	if err != nil {
@@ -40,7 +41,8 @@
 
 const (
 	// preparedLifetime is far below the shortest time that state may be kept: what was
-	// written within it has not been expired by any voter.
+	// written within it has not been expired by any voter. It is counted through a
+	// suspension of the machine.
 	preparedLifetime = 10 * time.Second
 	maxPrepared      = 2048
 	maxPreparedBytes = 1 << 20 // bytes of values, of which one may be a sixteenth
@@ -73,16 +75,16 @@
 	s.size += size(a)
 	for e := s.oldest.Front(); e != nil; e = s.oldest.Front() {
 		if s.size <= maxPreparedBytes && s.oldest.Len() <= maxPrepared &&
-			time.Since(e.Value.(*preparedBallot).preparedAt) <= preparedLifetime {
+			a.preparedAt.Sub(e.Value.(*preparedBallot).preparedAt) <= preparedLifetime {
 			return
 		}
 		s.remove(e)
 	}
 }
 
-// take removes and returns a key's prepared ballot; nil if there is none, it is too old,
-// or it was promised by another set of voters.
-func (s *preparedCache) take(key string, set Set) *preparedBallot {
+// take removes and returns a key's prepared ballot; nil if there is none, it is too old by
+// now, or it was promised by another set of voters.
+func (s *preparedCache) take(key string, set Set, now clock.Moment) *preparedBallot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.byKey[key]
@@ -90,7 +92,7 @@
 		return nil
 	}
 	a := s.remove(e)
-	if time.Since(a.preparedAt) > preparedLifetime || !slices.EqualFunc(a.set, set, slices.Equal[[]Replica]) {
+	if now.Sub(a.preparedAt) > preparedLifetime || !slices.EqualFunc(a.set, set, slices.Equal[[]Replica]) {
 		return nil
 	}
 	return a
--- a/internal/proto/register/proposer.go
+++ b/internal/proto/register/proposer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"damsontiller/internal/proto/wire"
+	"damsontiller/internal/transport/clock"
 )
 
 // ErrNoQuorum reports that too few voters answered, and that nothing was changed.
@@ -52,7 +53,7 @@
 	RoundTimeout time.Duration
 	// Clock gives the time of day that ballots follow, Random the operation ids of changes
 	// and the lengths of pauses. Tests replace them before the first call.
-	Clock    func() time.Time
+	Clock    clock.TimeOfDay
 	Random   func() uint64
 	prepared preparedCache
 	queues   keyQueues
