Membership: the number of cores stays odd; a lone newcomer stands outside as a candidate

Change: cores come and go by twos, those of the zones with fewest first, and no two that would let the loss of one zone take a majority. A newcomer that would make the number even stands outside and takes the place of whichever fails next: at once where it has just come, after 3 s of silence where it has stood there, so that a start costs nobody its place. Nobody is asked for its sake meanwhile. Sets that are even already stay and take one more in. Tests: sim tests that expected a fourth core in the set expect it outside and in the place of the next that fails; those of an addition add two.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -80,6 +80,8 @@
 type reconcilerState struct {
 	// wakeups has a reconciler check its set again at once. The map never changes.
 	wakeups map[membership.Set]loop.Wakeup
+	// outsiders are kept for each set. The map never changes.
+	outsiders map[membership.Set]*outsiders
 	// lastNewcomer is when a store that is in no set was last seen for the first time, in
 	// Unix nanoseconds; knownIdentities are those seen so far.
 	lastNewcomer    atomic.Int64
@@ -101,6 +103,7 @@
 		membership.Cores:  c.Cluster.Watch(),
 		membership.Stores: c.Cluster.Watch(),
 	}
+	c.reconciler.outsiders = map[membership.Set]*outsiders{membership.Cores: {}, membership.Stores: {}}
 	c.reconciler.lastNewcomer.Store(time.Now().UnixNano())
 	c.FreshFolder = d.FolderState().Opened == 0
 	c.Lease.BeforeRenewal = c.drain
--- a/internal/coordination/core/reconciler.go
+++ b/internal/coordination/core/reconciler.go
@@ -100,12 +100,35 @@
 	return membership.Observation{
 		Set:         set,
 		Cluster:     &v.Cluster,
-		Members:     c.members(set.Role()),
+		Members:     c.reconciler.outsiders[set].observe(v, c.members(set.Role())),
 		Forming:     time.Since(c.reconciler.founded) <= bootstrapPeriod,
 		NewcomerAge: time.Since(time.Unix(0, c.reconciler.lastNewcomer.Load())),
 	}
 }
 
+// outsiders remembers since when machines of a role have been seen outside their set. Only
+// the reconciler of that set uses it.
+type outsiders struct{ since map[string]time.Time }
+
+// observe states of each member for how long it has been seen outside the sets.
+func (o *outsiders) observe(v *cluster.View, members []membership.Member) []membership.Member {
+	since := map[string]time.Time{}
+	for i, m := range members {
+		ident := m.Machine.Ident
+		if ident == "" || !m.Live || membership.InSets(&v.Cluster, ident) {
+			continue
+		}
+		at, known := o.since[ident]
+		if !known {
+			at = time.Now()
+		}
+		since[ident] = at
+		members[i].KnownFor = time.Since(at)
+	}
+	o.since = since
+	return members
+}
+
 // members are the machines of a role that this core has seen. Its own entry needs no
 // renewal.
 func (c *Core) members(role string) []membership.Member {
--- a/internal/coordination/core/table.go
+++ b/internal/coordination/core/table.go
@@ -43,7 +43,8 @@
 // that were granted without it before are then listed, and later ones are granted by
 // majorities of the same set.
 func (c *Core) completeTable(ctx context.Context, v *cluster.View) {
-	if len(v.NextCores) > 0 || len(v.Cluster.Cores) < minCompleting || !membership.Has(v.Cluster.Cores, c.Peer.Ident()) {
+	cores := v.Cluster.Cores
+	if len(v.NextCores) > 0 || len(cores) < minCompleting || !membership.Has(cores, c.Peer.Ident()) {
 		return
 	}
 	ctx, stop := context.WithTimeout(ctx, membersTimeout)
--- a/internal/coordination/membership/identity.go
+++ b/internal/coordination/membership/identity.go
@@ -52,6 +52,9 @@
 	})
 }
 
+// InSets reports whether a machine of an identity is in a present or next set.
+func InSets(c *spec.Cluster, ident string) bool { return Has(allMachines(c), ident) }
+
 // allMachines are the machines of all sets.
 func allMachines(c *spec.Cluster) []spec.Machine {
 	return slices.Concat(c.Cores, c.NextCores, c.Stores, c.NextStores)
--- a/internal/coordination/membership/plan.go
+++ b/internal/coordination/membership/plan.go
@@ -39,6 +39,8 @@
 	Confirmed       uint64 // the version that it has in force
 	Live            bool   // its lease runs
 	UnresponsiveFor time.Duration
+	// KnownFor is how long ago this core first saw it stand outside the set.
+	KnownFor time.Duration
 }
 
 // WithSelf replaces whatever the table shows of a core itself by its own entry as it is
@@ -114,6 +116,11 @@
 // unresponsive, since it may come back with its data; a newcomer has to replace it. A
 // newcomer that finds all machines present is admitted as a spare and replaces whichever
 // fails next. So a set never shrinks, unless an operator retires a store.
+//
+// Cores come and go by twos, so that their number is odd: of an even number a majority is
+// one more than half, and bears the loss of no more machines than the odd number below it.
+// A newcomer that would make their number even stands outside as a candidate, and replaces
+// whichever fails next.
 func Decide(o Observation) Decision {
 	if o.Set == Stores && len(o.Cluster.Stores) == 0 {
 		return firstStores(o)
@@ -121,7 +128,7 @@
 	p := newPlan(o)
 	p.dropRetired()
 	p.replaceWiped()
-	if len(p.newcomers) == 0 && !p.mayDrop() {
+	if len(p.newcomers) == 0 && !p.mayDrop() || p.onlyCandidates() {
 		return p.decision()
 	}
 	if o.Presence == nil {
@@ -132,6 +139,7 @@
 			return Decision{Wait: true}
 		}
 	}
+	p.admitCandidates()
 	p.dropAbsent()
 	return p.decision()
 }
@@ -139,11 +147,12 @@
 // plan is a target while it is computed.
 type plan struct {
 	Observation
-	now, want []spec.Machine
-	newcomers []Member // that no place has been found for yet
-	spares    []string // of those in want, who may take another's place
-	target    Target
-	wait      bool
+	now, want  []spec.Machine
+	newcomers  []Member // that no place has been found for yet
+	candidates []Member // those that find no place but beside the others
+	spares     []string // of those in want, who may take another's place
+	target     Target
+	wait       bool
 }
 
 func newPlan(o Observation) *plan {
@@ -269,15 +278,11 @@
 			return false
 		}
 	}
-	if i := p.vacant(m.Machine.Zone); i >= 0 {
+	if i := p.vacant(m); i >= 0 {
 		p.replaceAt(i, m)
 		return true
 	}
-	p.want = append(p.want, spec.Machine{})
-	p.replaceAt(len(p.want)-1, m)
-	if !p.Forming {
-		p.target.Spares = append(p.target.Spares, m.Machine.Ident)
-	}
+	p.candidates = append(p.candidates, m)
 	return true
 }
 
@@ -291,26 +296,109 @@
 	}
 }
 
-// vacant is the index of an absent machine, of that zone if there is one; else -1.
-func (p *plan) vacant(zone string) int {
-	i := slices.IndexFunc(p.want, func(s spec.Machine) bool { return p.absent(s) && s.Zone == zone })
+// vacant is the index of an absent machine that a newcomer may replace, of its zone if
+// there is one; else -1. One that has stood outside for a while waits for as long as a spare
+// does: most machines that are absent only start anew.
+func (p *plan) vacant(m Member) int {
+	vacant := func(s spec.Machine) bool {
+		return p.absent(s) && (m.KnownFor < ReplaceAfter || p.longUnresponsive(s.Ident))
+	}
+	i := slices.IndexFunc(p.want, func(s spec.Machine) bool { return vacant(s) && s.Zone == m.Machine.Zone })
 	if i >= 0 {
 		return i
 	}
-	return slices.IndexFunc(p.want, p.absent)
+	return slices.IndexFunc(p.want, vacant)
 }
 
-// dropAbsent removes absent machines that spares replace.
+// admitCandidates admits newcomers beside the others: all of them to a set of stores, to one
+// of cores as many as leave an odd number.
+func (p *plan) admitCandidates() {
+	if p.Set == Stores {
+		for _, m := range p.candidates {
+			p.admitBeside(m)
+		}
+		return
+	}
+	if len(p.want)%2 == 0 && len(p.candidates) > 0 {
+		p.admitBeside(p.takeCandidate())
+	}
+	for len(p.candidates) > 1 {
+		first, second := p.takeCandidate(), p.takeCandidate()
+		larger := append(slices.Clone(p.want), first.Machine, second.Machine)
+		if bearsZoneLoss(p.want) && !bearsZoneLoss(larger) {
+			return
+		}
+		p.admitBeside(first)
+		p.admitBeside(second)
+	}
+}
+
+// admitBeside admits a newcomer that replaces nobody now.
+func (p *plan) admitBeside(m Member) {
+	p.want = append(p.want, spec.Machine{})
+	p.replaceAt(len(p.want)-1, m)
+	if !p.Forming {
+		p.target.Spares = append(p.target.Spares, m.Machine.Ident)
+	}
+}
+
+// takeCandidate takes the first candidate of the zone that has fewest machines in the set.
+func (p *plan) takeCandidate() Member {
+	inZone := map[string]int{}
+	for _, m := range p.want {
+		inZone[m.Zone]++
+	}
+	best := 0
+	for i, m := range p.candidates {
+		if inZone[m.Machine.Zone] < inZone[p.candidates[best].Machine.Zone] {
+			best = i
+		}
+	}
+	m := p.candidates[best]
+	p.candidates = slices.Delete(p.candidates, best, best+1)
+	return m
+}
+
+// bearsZoneLoss reports whether a majority of a set is left without any one zone.
+func bearsZoneLoss(set []spec.Machine) bool {
+	inZone := map[string]int{}
+	for _, m := range set {
+		inZone[m.Zone]++
+	}
+	for _, n := range inZone {
+		if n*2 >= len(set) {
+			return false
+		}
+	}
+	return true
+}
+
+// onlyCandidates reports whether the only newcomer is a core that has stood outside for a
+// while, would make the number of cores even, and could replace nobody now.
+func (p *plan) onlyCandidates() bool {
+	if p.Set != Cores || len(p.newcomers) != 1 || len(p.want)%2 == 0 || p.newcomers[0].KnownFor < ReplaceAfter {
+		return false
+	}
+	return !slices.ContainsFunc(p.want, func(s spec.Machine) bool {
+		return s.ID == p.newcomers[0].Machine.ID || p.longUnresponsive(s.Ident)
+	})
+}
+
+// dropAbsent removes absent machines that spares replace. Of cores it leaves an odd number.
 func (p *plan) dropAbsent() {
+	want, promoted := slices.Clone(p.want), []string(nil)
 	for _, ident := range p.spares {
-		i := slices.IndexFunc(p.want, func(s spec.Machine) bool {
+		i := slices.IndexFunc(want, func(s spec.Machine) bool {
 			return p.absent(s) && p.longUnresponsive(s.Ident) && s.Ident != ident
 		})
-		if i < 0 || len(p.want) <= p.minSize() {
+		if i < 0 || len(want) <= p.minSize() {
 			return
 		}
-		p.want = slices.Delete(p.want, i, i+1)
-		p.target.Promoted = append(p.target.Promoted, ident)
+		want = slices.Delete(want, i, i+1)
+		promoted = append(promoted, ident)
+		if p.Set == Stores || len(want)%2 == 1 {
+			p.want, p.target.Promoted = slices.Clone(want), slices.Clone(promoted)
+		}
 	}
 }
 
--- a/internal/kit/sim/inspect.go
+++ b/internal/kit/sim/inspect.go
@@ -1,10 +1,14 @@
 package sim
 
 import (
+	"fmt"
+	"slices"
+
 	"damsontiller/internal/coordination/cluster"
 	"damsontiller/internal/coordination/core"
 	"damsontiller/internal/dataplane/edge"
 	"damsontiller/internal/dataplane/store"
+	"damsontiller/internal/proto/spec"
 )
 
 // Cluster is what the first running core has in force.
@@ -39,6 +43,24 @@
 	return ""
 }
 
+// Lacks tells what a set lacks of the machines of its role that are in use, as they are;
+// empty: nothing. Of an even number of cores one stands outside.
+func (s *Sim) Lacks(role string, set []spec.Machine, inUse []string) string {
+	size := len(inUse)
+	if role == "core" && size%2 == 0 {
+		size--
+	}
+	if len(set) != size {
+		return fmt.Sprintf("%ss are %v, in use are %v", role, set, inUse)
+	}
+	for _, m := range set {
+		if !slices.Contains(inUse, m.ID) || s.Ident(m.ID) != m.Ident {
+			return fmt.Sprintf("%s %s of %v is %s, in use are %v", role, m.ID, set, s.Ident(m.ID), inUse)
+		}
+	}
+	return ""
+}
+
 // Store is a running store.
 func (s *Sim) Store(id string) *store.Store {
 	s.mu.Lock()
