Cooldown news carries no epoch: a brief item is heard whatever came before it

Cause: docs/control-review.md said that news of a node whose clock was set back counts as old. By reading it never did: brief items are not kept, so nothing is compared. What rested on the wall clock was an epoch that nobody read. Measured: TestBriefWithoutOrder (epochs 9, 3, 0, 0: each heard by all); broadcast and cooldown: ok.

--- a/internal/coordination/broadcast/broadcast_test.go
+++ b/internal/coordination/broadcast/broadcast_test.go
@@ -157,6 +157,21 @@
 	})
 }
 
+// TestBriefWithoutOrder: an item that is out of date at once is heard whatever epoch and
+// number it has beside earlier ones of its key, as its sender's clock may have gone back.
+func TestBriefWithoutOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, end := newTown(t, 4, 0)
+		defer end()
+		for i, epoch := range []uint64{9, 3, 0, 0} {
+			w.boards[1].Publish(t.Context(), &wire.Item{Topic: "brief", Key: "k", Epoch: epoch, Seq: 1, Brief: true})
+			if n, most := w.count("brief", "k"); n != 4 || most != i+1 {
+				t.Errorf("epoch %d: heard by %d of 4, %d times", epoch, n, most)
+			}
+		}
+	})
+}
+
 // TestNoSlipBack: an older item changes nothing, whichever way it comes.
 func TestNoSlipBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dataplane/cooldown/manager.go
+++ b/internal/dataplane/cooldown/manager.go
@@ -58,7 +58,6 @@
 	snapshot     snapshot
 	writtenUntil map[string]time.Time
 	writes       map[string]*write
-	seq          uint64
 	// installs counts cooldowns written.
 	installs uint64
 
@@ -200,16 +199,9 @@
 
 // broadcast spreads what was installed, so that others need not ask to know.
 func (manager *Manager) broadcast(key string, w time.Duration) {
-	manager.mu.Lock()
-	manager.seq++
-	i := &wire.Item{
-		Topic: keys.CooldownTopic,
-		Key:   manager.node.Peer.Self.Id + "/" + key,
-		Epoch: manager.node.Peer.Self.Inc,
-		Seq:   manager.seq,
-		Brief: true,
-	}
-	manager.mu.Unlock()
+	// A brief item is heard whatever came before it: it needs neither epoch nor number, and
+	// so no clock.
+	i := &wire.Item{Topic: keys.CooldownTopic, Key: manager.node.Peer.Self.Id + "/" + key, Brief: true}
 	i.Body, _ = json.Marshal(announcement{key, WaitMs(w)})
 	go manager.node.Broadcast.Publish(context.Background(), i)
 }
