Core: questions are answered by what was read, also where the disk does not take it

Change: Cluster.ReadView returns what a majority holds after 100 ms at most; a version that the disk does not take is kept in memory to answer by and to find voters with, and is neither in force nor confirmed. Operators' questions on both interfaces use it.

--- a/internal/coordination/cluster/cluster.go
+++ b/internal/coordination/cluster/cluster.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"damsontiller/internal/proto/register"
 	"damsontiller/internal/proto/spec"
@@ -56,6 +57,9 @@
 type Cluster struct {
 	proposer *register.Proposer
 	current  atomic.Pointer[View]
+	// unsaved is a version newer than current that the disk has not taken. It is not in
+	// force here, nor confirmed; questions are answered by it and voters found.
+	unsaved atomic.Pointer[View]
 	mu       sync.Mutex // guards on, and is held for changes of cur
 	persist  func(raw []byte, version uint64) error
 	// applying is full while a version is put in force, which may wait for the disk.
@@ -83,6 +87,16 @@
 // Now is the version in force.
 func (cluster *Cluster) Now() *View { return cluster.current.Load() }
 
+// Newest is the newest version known: the one in force, or a later one that the disk has
+// not taken yet. Nothing that this process votes on or confirms rests on it.
+func (cluster *Cluster) Newest() *View {
+	now := cluster.Now()
+	if v := cluster.unsaved.Load(); v != nil && v.Version > now.Version {
+		return v
+	}
+	return now
+}
+
 // SetInitialVoters sets the voters of a cluster that has no version yet.
 func (cluster *Cluster) SetInitialVoters(cores []spec.Machine) {
 	cluster.mu.Lock()
@@ -108,23 +122,20 @@
 	if version <= cluster.Now().Version {
 		return nil
 	}
-	v := &View{
-		Version:    version,
-		raw:        raw,
-		compressed: sync.OnceValue(func() []byte { return wire.Compress(raw) }),
-	}
-	if err := v.UnmarshalJSON(raw); err != nil {
-		return code.New(code.Garbled, "cluster %d: %w", version, err)
+	v, err := cluster.newView(version, raw)
+	if err != nil {
+		return err
 	}
 	if cluster.persist != nil {
 		if err := cluster.persist(raw, version); err != nil {
+			if isDiskRefusal(err) {
+				cluster.noteUnsaved(v)
+			}
 			return err
 		}
 	}
 	cluster.mu.Lock()
 	defer cluster.mu.Unlock()
-	v.StoresVersion = storesSince(cluster.Now(), v)
-	v.CoresVersion = coresSince(cluster.Now(), v)
 	cluster.current.Store(v)
 	for _, k := range cluster.watchers {
 		k.Notify()
@@ -132,6 +143,41 @@
 	return nil
 }
 
+// noteUnsaved keeps a version that is not in force here.
+func (cluster *Cluster) noteUnsaved(v *View) {
+	for {
+		old := cluster.unsaved.Load()
+		if old != nil && old.Version >= v.Version || cluster.unsaved.CompareAndSwap(old, v) {
+			return
+		}
+	}
+}
+
+// newView reads a version that follows the one in force.
+func (cluster *Cluster) newView(version uint64, raw []byte) (*View, error) {
+	v := &View{
+		Version:    version,
+		raw:        raw,
+		compressed: sync.OnceValue(func() []byte { return wire.Compress(raw) }),
+	}
+	if err := v.UnmarshalJSON(raw); err != nil {
+		return nil, code.New(code.Garbled, "cluster %d: %w", version, err)
+	}
+	v.StoresVersion = storesSince(cluster.Now(), v)
+	v.CoresVersion = coresSince(cluster.Now(), v)
+	return v, nil
+}
+
+// isDiskRefusal reports whether a version was not put in force only because this machine's
+// disk does not take it, or not for sure.
+func isDiskRefusal(err error) bool {
+	switch code.Of(err) {
+	case code.DiskFull, code.DiskStalled, code.WriteUncertain, code.DiskFailure:
+		return true
+	}
+	return false
+}
+
 // Cores is the spec register's voters: two groups while the set changes.
 func (v *View) Cores() register.Set {
 	set := register.Set{replicas(v.Cluster.Cores)}
@@ -275,12 +321,12 @@
 // and do is run again.
 func (cluster *Cluster) withVoters(ctx context.Context, do func(context.Context, register.Set) error) error {
 	for attempt := 1; ; attempt++ {
-		v := cluster.Now()
+		v := cluster.Newest()
 		err := do(register.WithVersion(ctx, v.Version, false), v.Cores())
 		if attempt == maxAttempts || code.Of(err) != code.StaleSpec || errors.Is(err, register.ErrUncertain) ||
 			cluster.Discover == nil ||
 			!cluster.Discover(ctx) ||
-			cluster.Now().Version == v.Version {
+			cluster.Newest().Version == v.Version {
 			return err
 		}
 	}
@@ -289,18 +335,55 @@
 // Read reads the cluster at a majority and puts it in force. The error has
 // code.CoreUnreachable.
 func (cluster *Cluster) Read(ctx context.Context) error {
-	var state register.State
-	err := cluster.withVoters(ctx, func(ctx context.Context, set register.Set) (err error) {
+	state, err := cluster.readState(ctx)
+	if err != nil || state.Version == 0 {
+		return err
+	}
+	return cluster.Apply(state.Version, state.Value)
+}
+
+// readState reads the register at a majority.
+func (cluster *Cluster) readState(ctx context.Context) (state register.State, err error) {
+	err = cluster.withVoters(ctx, func(ctx context.Context, set register.Set) (err error) {
 		state, err = cluster.proposer.Read(ctx, set, Key)
 		return err
 	})
 	if err != nil {
-		return code.New(code.CoreUnreachable, "%w", err)
+		return state, code.New(code.CoreUnreachable, "%w", err)
 	}
-	if state.Version == 0 {
-		return nil
+	return state, nil
+}
+
+// applyWait is how long a question waits for the disk to take a newer version.
+const applyWait = 100 * time.Millisecond
+
+// ReadView reads the cluster at a majority and returns what it has read, whether or not the
+// disk takes it soon; where it does, it is in force. The error has code.CoreUnreachable.
+func (cluster *Cluster) ReadView(ctx context.Context) (*View, error) {
+	state, err := cluster.readState(ctx)
+	if err != nil {
+		return nil, err
 	}
-	return cluster.Apply(state.Version, state.Value)
+	if state.Version <= cluster.Now().Version {
+		return cluster.Now(), nil
+	}
+	v, err := cluster.newView(state.Version, state.Value)
+	if err != nil {
+		return nil, err
+	}
+	cluster.noteUnsaved(v)
+	applied := make(chan error, 1)
+	go func() { applied <- cluster.Apply(state.Version, state.Value) }()
+	wait := time.NewTimer(applyWait)
+	defer wait.Stop()
+	select {
+	case err := <-applied:
+		if err != nil && !isDiskRefusal(err) {
+			return nil, err
+		}
+	case <-wait.C:
+	}
+	return cluster.Newest(), nil
 }
 
 // ErrNoChange is returned by the function of a change that would change nothing.
@@ -364,10 +447,8 @@
 // take it, it is chosen all the same: this process then stays on its older version until
 // it receives a newer one again, and confirms none.
 func (cluster *Cluster) applyChosen(state register.State) error {
-	err := cluster.Apply(state.Version, state.Value)
-	switch code.Of(err) {
-	case code.DiskFull, code.DiskStalled, code.WriteUncertain, code.DiskFailure:
-		return nil
+	if err := cluster.Apply(state.Version, state.Value); err != nil && !isDiskRefusal(err) {
+		return err
 	}
-	return err
+	return nil
 }
--- a/internal/coordination/core/acknowledgement.go
+++ b/internal/coordination/core/acknowledgement.go
@@ -58,7 +58,7 @@
 // knownMembers merges the members that a majority of core machines know: the newest
 // start of each, its highest confirmation, its shortest time without contact.
 func (c *Core) knownMembers(ctx context.Context) (*memberList, error) {
-	set := c.Cluster.Now().Cores()
+	set := c.Cluster.Newest().Cores()
 	ctx, stop := context.WithTimeout(ctx, membersTimeout)
 	defer stop()
 	cores := set.All()
@@ -173,7 +173,7 @@
 // fencedByStores reports whether in neither set of stores could those that have not confirmed ver
 // make a majority of some key's copies.
 func (c *Core) fencedByStores(known map[string]*wire.Member, ver uint64, confirmed map[string]bool) bool {
-	v := c.Cluster.Now()
+	v := c.Cluster.Newest()
 	return membership.Fenced(&v.Cluster, func(m spec.Machine) bool {
 		member := known[m.ID+"@"+m.Addr]
 		return member.GetIdent() == m.Ident && (member.GetSpecVer() >= ver || confirmed[m.ID])
--- a/internal/coordination/core/explain.go
+++ b/internal/coordination/core/explain.go
@@ -21,10 +21,10 @@
 
 // explain tells what the intents in force come to.
 func (c *Core) explain(x echo.Context) error {
-	if err := c.Cluster.Read(x.Request().Context()); err != nil {
+	v, err := c.Cluster.ReadView(x.Request().Context())
+	if err != nil {
 		return fail(x, err)
 	}
-	v := c.Cluster.Now()
 	return x.JSON(http.StatusOK, map[string]any{"version": v.Version, "intents": Explain(v)})
 }
 
--- a/internal/coordination/core/members.go
+++ b/internal/coordination/core/members.go
@@ -6,6 +6,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"damsontiller/internal/coordination/cluster"
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/proto/wire"
 )
@@ -26,7 +27,8 @@
 
 func (c *Core) getMembers(x echo.Context) error {
 	// The sets whose cores are asked are those that a majority has in force.
-	if err := c.Cluster.Read(x.Request().Context()); err != nil {
+	v, err := c.Cluster.ReadView(x.Request().Context())
+	if err != nil {
 		return fail(x, err)
 	}
 	list, err := c.knownMembers(x.Request().Context())
@@ -37,7 +39,7 @@
 	for _, m := range list.members {
 		out = append(
 			out,
-			member{m.Id, m.Role, m.Addr, m.Http, m.Zone, m.Live, m.SpecVer, m.SilentMs, c.votes(m), m.Status},
+			member{m.Id, m.Role, m.Addr, m.Http, m.Zone, m.Live, m.SpecVer, m.SilentMs, votes(v, m), m.Status},
 		)
 	}
 	slices.SortFunc(out, func(a, b member) int {
@@ -52,8 +54,8 @@
 	return x.JSON(http.StatusOK, map[string]any{"members": out})
 }
 
-func (c *Core) votes(m *wire.Member) bool {
-	v := c.Cluster.Now()
+// votes reports whether a member is in a present or next set.
+func votes(v *cluster.View, m *wire.Member) bool {
 	return slices.ContainsFunc(
 		slices.Concat(v.Cluster.Cores, v.NextCores, v.Cluster.Stores, v.NextStores),
 		func(s spec.Machine) bool { return s.Ident != "" && s.Ident == m.Ident },
@@ -63,14 +65,14 @@
 // getHealth tells what an operator should check first.
 func (c *Core) getHealth(x echo.Context) error {
 	// The sets whose cores are asked are those that a majority has in force.
-	if err := c.Cluster.Read(x.Request().Context()); err != nil {
+	v, err := c.Cluster.ReadView(x.Request().Context())
+	if err != nil {
 		return fail(x, err)
 	}
 	list, err := c.knownMembers(x.Request().Context())
 	if err != nil {
 		return fail(x, err)
 	}
-	v := c.Cluster.Now()
 	wrong := []string{}
 	if len(v.NextCores)+len(v.NextStores) > 0 {
 		wrong = append(wrong, "a change of a set is under way")
--- a/internal/coordination/core/operators.go
+++ b/internal/coordination/core/operators.go
@@ -59,10 +59,10 @@
 
 func (c *Core) getSpec(x echo.Context) error {
 	// Read at a majority: what this core has in force may be older.
-	if err := c.Cluster.Read(x.Request().Context()); err != nil {
+	v, err := c.Cluster.ReadView(x.Request().Context())
+	if err != nil {
 		return fail(x, err)
 	}
-	v := c.Cluster.Now()
 	b, err := spec.State{Version: v.Version, Spec: v.Spec}.MarshalJSON()
 	if err != nil {
 		return fail(x, err)
@@ -205,11 +205,12 @@
 		return fail(x, code.New(code.BadField, "version: %q is not a version", x.Param("ver")))
 	}
 	ctx := x.Request().Context()
-	if err := c.Cluster.Read(ctx); err != nil {
+	v, err := c.Cluster.ReadView(ctx)
+	if err != nil {
 		return fail(x, err)
 	}
-	if now := c.Cluster.Now().Version; ver > now {
-		return fail(x, code.New(code.NoVersion, "version %d, the latest is %d", ver, now))
+	if ver > v.Version {
+		return fail(x, code.New(code.NoVersion, "version %d, the latest is %d", ver, v.Version))
 	}
 	w, err := c.unconfirmed(ctx, ver, nil)
 	if err != nil {
--- a/internal/coordination/core/policies.go
+++ b/internal/coordination/core/policies.go
@@ -32,10 +32,10 @@
 }
 
 func (c *Core) getPolicies(x echo.Context) error {
-	if err := c.Cluster.Read(x.Request().Context()); err != nil {
+	v, err := c.Cluster.ReadView(x.Request().Context())
+	if err != nil {
 		return fail(x, err)
 	}
-	v := c.Cluster.Now()
 	out := []policyRow{}
 	for _, p := range v.Spec.Policies {
 		r := policyRow{Policy: p, Digest: p.Source().Digest()}
--- a/internal/coordination/core/retire.go
+++ b/internal/coordination/core/retire.go
@@ -160,10 +160,10 @@
 
 // Retired reports whether a store that is to go holds nothing any more that is needed.
 func (c *Core) Retired(ctx context.Context, id string) (bool, error) {
-	if err := c.Cluster.Read(ctx); err != nil {
+	v, err := c.Cluster.ReadView(ctx)
+	if err != nil {
 		return false, err
 	}
-	v := c.Cluster.Now()
 	in := slices.ContainsFunc(
 		slices.Concat(v.Cluster.Stores, v.NextStores),
 		func(m spec.Machine) bool { return m.ID == id },
--- a/internal/coordination/core/setorders.go
+++ b/internal/coordination/core/setorders.go
@@ -29,10 +29,10 @@
 }
 
 func (c *Core) getSets(x echo.Context) error {
-	if err := c.Cluster.Read(x.Request().Context()); err != nil {
+	v, err := c.Cluster.ReadView(x.Request().Context())
+	if err != nil {
 		return fail(x, err)
 	}
-	v := c.Cluster.Now()
 	return x.JSON(
 		http.StatusOK,
 		map[string]any{
--- a/internal/kit/sim/disk_test.go
+++ b/internal/kit/sim/disk_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -95,3 +96,45 @@
 		}
 	}
 }
+
+// TestFullDiskReadsThrough: a core whose disk takes nothing answers every question with what
+// a majority of the others has chosen, also after the set of cores has changed without it.
+// It confirms none of that, and is right by itself once there is room.
+func TestFullDiskReadsThrough(t *testing.T) {
+	t.Parallel()
+	for _, cut := range []func(s *sim.Sim, on bool){
+		func(s *sim.Sim, on bool) { s.DiskFull("c2", on) },
+		func(s *sim.Sim, on bool) { s.DiskStall("c2", on) },
+	} {
+		selfManaged(t, 151, func(ctx context.Context, s *sim.Sim) {
+			launch(t, ctx, s, false, "c4", "c5")
+			inForce(t, s, 4*time.Second, "c1 c2 c3 c4 c5", "s1 s2 s3")
+			cut(s, true)
+			had := s.View("c2").Version
+			for i := range 3 {
+				if i == 1 {
+					wipe(t, ctx, s, "c3", 300*time.Millisecond)
+					time.Sleep(2 * time.Second)
+				}
+				revision := 10 * (i + 1)
+				if r := replaceAt(s, "c1", 10*i, revision, fmt.Sprint("r", i)); r.status != http.StatusOK {
+					t.Fatalf("revision %d: %+v", revision, r)
+				}
+				for _, path := range []string{"/v1/configuration/retrieve", "/v1/spec", "/v1/sets", "/v1/members", "/v1/health"} {
+					r := order(s, "c2", http.MethodGet, path, "", "")
+					if r.status != http.StatusOK {
+						t.Errorf("revision %d, %s: %+v", revision, path, r)
+					}
+					if path == "/v1/configuration/retrieve" && !strings.Contains(r.body, fmt.Sprintf(`"revision":%d`, revision)) {
+						t.Errorf("revision %d was acknowledged, %s is told", revision, r.body)
+					}
+				}
+			}
+			if v := s.View("c2").Version; v != had {
+				t.Errorf("version %d came into force without being kept, %d was", v, had)
+			}
+			cut(s, false)
+			convergedAgain(t, s, "c2")
+		})
+	}
+}
--- a/internal/platform/control/operate.go
+++ b/internal/platform/control/operate.go
@@ -144,10 +144,11 @@
 func (o *Handler) retrieve(x echo.Context) error {
 	ctx, stop := bound(x, 0)
 	defer stop()
-	if err := o.Core.Cluster.Read(ctx); err != nil {
+	v, err := o.Core.Cluster.ReadView(ctx)
+	if err != nil {
 		return fail(x, err)
 	}
-	b, err := Written(&o.Core.Cluster.Now().Table)
+	b, err := Written(&v.Table)
 	if err != nil {
 		return fail(x, err)
 	}
