Storage: a reserve on disk; a disk that fails reads for good is given up after a minute

Change: a file of 4 MB, on a small disk a thirty-second part of it, is removed by the first write that finds no space; until it is made anew bulk and new keys are refused. An opening that fails by reads alone for a minute sets the data aside unread and starts under a new identity; a disk that answers nothing is waited for as before, since it takes no new data either.

--- a/internal/coordination/cluster/cluster.go
+++ b/internal/coordination/cluster/cluster.go
@@ -60,8 +60,8 @@
 	// unsaved is a version newer than current that the disk has not taken. It is not in
 	// force here, nor confirmed; questions are answered by it and voters found.
 	unsaved atomic.Pointer[View]
-	mu       sync.Mutex // guards on, and is held for changes of cur
-	persist  func(raw []byte, version uint64) error
+	mu      sync.Mutex // guards on, and is held for changes of cur
+	persist func(raw []byte, version uint64) error
 	// applying is full while a version is put in force, which may wait for the disk.
 	applying chan struct{}
 	watchers []loop.Wakeup
--- a/internal/proto/register/releases_test.go
+++ b/internal/proto/register/releases_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -119,6 +120,13 @@
 	return r, err
 }
 
+// setRelease tells which release the voters are started anew as, and whether they are by now.
+func (f *mixedFleet) setRelease(is release, begun bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.is, f.begun = is, begun
+}
+
 // TestMixedReleases: whichever voters are started anew as an earlier or later release,
 // and at whatever moment of a change, a change that was acknowledged is read with its
 // value, and no voter holds a cell without one.
@@ -155,14 +163,17 @@
 	if _, err := p.Change(t.Context(), set, valueKey, put(string(first))); err != nil {
 		t.Fatalf("%s: first change: %v", name, err)
 	}
-	fleet.begun, fleet.is = false, is
+	// Stragglers have answered by then.
+	time.Sleep(time.Second)
+	fleet.setRelease(is, false)
 	// Another start of the process, which holds no promise: both rounds are played.
 	p = register.NewProposer(2, proposeAs(proposer, fleet.call))
 	_, err := p.Change(t.Context(), set, valueKey, put(string(second)))
 	if err != nil {
 		t.Errorf("%s: second change: %v", name, err)
 	}
-	fleet.begun = true
+	time.Sleep(time.Second)
+	fleet.setRelease(is, true)
 	for addr, acceptor := range v.all {
 		view, err := acceptor.Read(&wire.Look{Key: valueKey})
 		if err != nil || view.Accepted != nil && len(view.Cell.Val) == 0 {
--- a/internal/state/storage/device.go
+++ b/internal/state/storage/device.go
@@ -47,6 +47,8 @@
 	stalledReads atomic.Int32 // reads that the disk has not answered in time
 	discarding   atomic.Bool  // everything is said to go well, so that the database can be closed
 	readSlots    chan struct{}
+	// releaseReserve makes space; it reports whether it did. nil: there is no reserve.
+	releaseReserve func() bool
 
 	mu            sync.Mutex
 	onFailureFunc func(error) // called once, by whoever fences
@@ -235,6 +237,9 @@
 		}
 		err := do()
 		d.end()
+		if isNoSpace(err) && d.releaseReserve != nil && d.releaseReserve() {
+			continue
+		}
 		switch {
 		case err == nil || isBenign(err):
 			return err
--- a/internal/state/storage/diskspace.go
+++ b/internal/state/storage/diskspace.go
@@ -21,9 +21,9 @@
 	simulatedDelay atomic.Int64
 }
 
-// reserveDivisor is the fraction of a disk that is kept free of new keys at the most, as a
-// divisor: a reserve that suits a disk of gigabytes would be all there is of a small one.
-const reserveDivisor = 8
+// minFreeDivisor is the fraction of a disk that is kept free of new keys at the most, as a
+// divisor: what suits a disk of gigabytes would be all there is of a small one.
+const minFreeDivisor = 8
 
 // SlowSync is the time for one sync above which a disk is called slow.
 const SlowSync = 500 * time.Millisecond
@@ -38,11 +38,12 @@
 
 // MeasureDisk measures the disk space; a background task calls it each second.
 func (engine *Engine) MeasureDisk() {
-	free, minFree := int64(-1), engine.params.MinFree
+	free, total, minFree := int64(-1), int64(0), engine.params.MinFree
 	if u, err := engine.base.GetDiskUsage(engine.params.Dir); err == nil {
 		free = int64(min(u.AvailBytes, 1<<62))
 		if u.TotalBytes > 0 {
-			minFree = min(minFree, int64(min(u.TotalBytes, 1<<62)/reserveDivisor))
+			total = int64(min(u.TotalBytes, 1<<62))
+			minFree = min(minFree, total/minFreeDivisor)
 		}
 	}
 	engine.space.minFree.Store(minFree)
@@ -50,6 +51,7 @@
 		free = f
 	}
 	engine.space.free.Store(free)
+	engine.reserve.make(free, total, minFree)
 	engine.space.previousSlowestSync.Store(engine.space.slowestSync.Swap(0))
 }
 
@@ -57,7 +59,7 @@
 // already.
 func (engine *Engine) NearlyFull() bool {
 	f := engine.space.free.Load()
-	return f >= 0 && f < engine.space.minFree.Load()
+	return engine.reserve.inUse() || f >= 0 && f < engine.space.minFree.Load()
 }
 
 // unavailable tells why no writes are taken at all; empty: they are.
--- a/internal/state/storage/engine.go
+++ b/internal/state/storage/engine.go
@@ -53,7 +53,8 @@
 	// withoutDatabase tells that the identity was made just now and has no database yet.
 	withoutDatabase bool
 
-	space diskSpace
+	space   diskSpace
+	reserve *diskReserve
 
 	instanceMutex sync.RWMutex // guards what follows
 	current       *instance    // nil while there is none
@@ -94,21 +95,47 @@
 	if engine.params.Log == nil {
 		engine.params.Log = func(string, ...any) {}
 	}
+	engine.reserve = &diskReserve{fs: engine.base, path: engine.path(reserveName)}
+	engine.reserve.adopt()
+	if err := engine.openPatiently(); err != nil {
+		return nil, err
+	}
+	engine.MeasureDisk()
+	return engine, nil
+}
+
+// unreadableAfter is how long a disk may fail reads at the start before what it holds is
+// given up. A disk that answers nothing is waited for however long it takes: it takes no
+// new data either.
+const unreadableAfter = time.Minute
+
+// openPatiently opens the folder, and waits for a disk that is full, does not answer or
+// fails. Where a disk goes on failing reads the machine starts as a stranger.
+func (engine *Engine) openPatiently() error {
+	var unreadableSince time.Time
 	for {
 		engine.files = newFolderDevice(engine.base)
-		err := engine.openFolder()
+		open := engine.openFolder
+		if !unreadableSince.IsZero() && time.Since(unreadableSince) >= unreadableAfter {
+			// Where that fails as well, the next attempt comes after as long again.
+			open, unreadableSince = engine.openAsStranger, time.Time{}
+		}
+		err := open()
 		if err == nil {
-			break
+			return nil
 		}
-		if engine.files.failure() == nil && engine.files.readFailure() == nil {
-			return nil, err
+		switch cause := engine.files.readFailure(); {
+		case engine.files.failure() == nil && cause == nil:
+			return err
+		case cause == nil || errors.Is(cause, errReadStalled):
+			unreadableSince = time.Time{}
+		case unreadableSince.IsZero():
+			unreadableSince = time.Now()
 		}
 		engine.params.Log("the disk fails, trying again to open the folder", "err", err)
 		engine.files.release(true)
 		sleep(reopenPause)
 	}
-	engine.MeasureDisk()
-	return engine, nil
 }
 
 func sleep(d time.Duration) {
--- a/internal/state/storage/faultfs/faultfs.go
+++ b/internal/state/storage/faultfs/faultfs.go
@@ -4,6 +4,7 @@
 package faultfs
 
 import (
+	"errors"
 	"io"
 	"os"
 	"slices"
@@ -37,13 +38,17 @@
 	fail    map[point]error
 	named   []named
 	at      func(kind Kind, n int)
+	// capacity bounds the bytes of all files; 0: it does not. used are those of each.
+	capacity int64
+	used     map[string]int64
 }
 
 // named is a failure that waits for a call on a certain file.
 type named struct {
-	kind Kind
-	half string
-	err  error
+	kind    Kind
+	half    string
+	err     error
+	lasting bool // it fails each such call
 }
 
 // point is one call: the n-th of its kind.
@@ -94,14 +99,112 @@
 func (f *FS) FailOn(kind Kind, half string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.named = append(f.named, named{kind, half, err})
+	f.named = append(f.named, named{kind: kind, half: half, err: err})
+}
+
+// FailAlways lets each call of a kind on a file whose name has part in it fail, until Heal.
+func (f *FS) FailAlways(kind Kind, half string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.named = append(f.named, named{kind: kind, half: half, err: err, lasting: true})
+}
+
+// Heal ends all failures of named files.
+func (f *FS) Heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.named = nil
+}
+
+// SetCapacity bounds the bytes that files written from now on may hold together.
+func (f *FS) SetCapacity(bytes int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.capacity = bytes
+	if f.used == nil {
+		f.used = map[string]int64{}
+	}
+}
+
+// Used is how many bytes files hold together since SetCapacity.
+func (f *FS) Used() (total int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.used {
+		total += n
+	}
+	return total
+}
+
+// take counts bytes that a file is to hold more. The error is ENOSPC where they don't fit.
+func (f *FS) take(name string, n int) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.capacity == 0 {
+		return nil
+	}
+	total := int64(n)
+	for _, held := range f.used {
+		total += held
+	}
+	if total > f.capacity {
+		return syscall.ENOSPC
+	}
+	f.used[name] += int64(n)
+	return nil
+}
+
+// moved counts a file's bytes, or those of all in a folder, under another name.
+func (f *FS) moved(from, to string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, n := range f.used {
+		if name == from || strings.HasPrefix(name, from+"/") {
+			delete(f.used, name)
+			f.used[to+strings.TrimPrefix(name, from)] = n
+		}
+	}
+}
+
+// bounded reports whether there is a capacity.
+func (f *FS) bounded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.capacity > 0
+}
+
+// freed forgets the bytes of a file that is removed or begun anew, or of all in a folder.
+func (f *FS) freed(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for other := range f.used {
+		if other == name || strings.HasPrefix(other, name+"/") {
+			delete(f.used, other)
+		}
+	}
+}
+
+// GetDiskUsage tells what SetCapacity has set.
+func (f *FS) GetDiskUsage(dir string) (vfs.DiskUsage, error) {
+	f.mu.Lock()
+	capacity := f.capacity
+	f.mu.Unlock()
+	if capacity == 0 {
+		return f.FS.GetDiskUsage(dir)
+	}
+	used := f.Used()
+	return vfs.DiskUsage{
+		AvailBytes: uint64(capacity - used), TotalBytes: uint64(capacity), UsedBytes: uint64(used),
+	}, nil
 }
 
 // failure takes what a call is to fail with; nil: nothing.
 func (f *FS) failure(p point, name string) error {
 	for i, n := range f.named {
 		if n.kind == p.kind && strings.Contains(name, n.half) {
-			f.named = slices.Delete(f.named, i, i+1)
+			if !n.lasting {
+				f.named = slices.Delete(f.named, i, i+1)
+			}
 			return n.err
 		}
 	}
@@ -174,7 +277,10 @@
 
 // Create makes a file.
 func (f *FS) Create(name string, c vfs.DiskWriteCategory) (vfs.File, error) {
-	return f.opened(Write, name, func() (vfs.File, error) { return f.FS.Create(name, c) })
+	return f.opened(Write, name, func() (vfs.File, error) {
+		f.freed(name)
+		return f.FS.Create(name, c)
+	})
 }
 
 // OpenReadWrite opens a file for both.
@@ -184,7 +290,10 @@
 
 // ReuseForWrite renames a file and opens it.
 func (f *FS) ReuseForWrite(from, to string, c vfs.DiskWriteCategory) (vfs.File, error) {
-	return f.opened(Write, to, func() (vfs.File, error) { return f.FS.ReuseForWrite(from, to, c) })
+	return f.opened(Write, to, func() (vfs.File, error) {
+		f.freed(from)
+		return f.FS.ReuseForWrite(from, to, c)
+	})
 }
 
 // Open opens a file for reading.
@@ -206,7 +315,10 @@
 
 // Rename renames a file.
 func (f *FS) Rename(from, to string) error {
-	return f.change(Write, to, func() error { return f.FS.Rename(from, to) })
+	return f.change(Write, to, func() error {
+		f.moved(from, to)
+		return f.FS.Rename(from, to)
+	})
 }
 
 // Link makes a second name.
@@ -225,12 +337,18 @@
 
 // Remove removes a file.
 func (f *FS) Remove(name string) error {
-	return f.change(Remove, name, func() error { return f.FS.Remove(name) })
+	return f.change(Remove, name, func() error {
+		f.freed(name)
+		return f.FS.Remove(name)
+	})
 }
 
 // RemoveAll removes a folder.
 func (f *FS) RemoveAll(name string) error {
-	return f.change(Remove, name, func() error { return f.FS.RemoveAll(name) })
+	return f.change(Remove, name, func() error {
+		f.freed(name)
+		return f.FS.RemoveAll(name)
+	})
 }
 
 // Lock locks a file.
@@ -263,7 +381,16 @@
 	return n, err
 }
 
-func (f *file) Write(p []byte) (int, error) { return f.half(p, f.fs.call(Write, f.name), f.File.Write) }
+func (f *file) Write(p []byte) (int, error) {
+	err := f.fs.call(Write, f.name)
+	if err == nil {
+		err = f.fs.take(f.name, len(p))
+	}
+	if errors.Is(err, syscall.ENOSPC) && f.fs.bounded() {
+		return 0, err
+	}
+	return f.half(p, err, f.File.Write)
+}
 
 func (f *file) WriteAt(p []byte, off int64) (int, error) {
 	return f.half(p, f.fs.call(Write, f.name), func(b []byte) (int, error) { return f.File.WriteAt(b, off) })
--- a/internal/state/storage/folder.go
+++ b/internal/state/storage/folder.go
@@ -53,6 +53,9 @@
 	if failed := errors.Join(dev.failure(), dev.readFailure()); err != nil && failed != nil {
 		// The disk's failure says nothing about the data.
 		engine.files.fence(failed)
+		if dev.failure() == nil {
+			_ = engine.files.recordReadError(dev.readFailure())
+		}
 		dev.release(true)
 	}
 	if err != nil && engine.files.failure() == nil {
@@ -86,6 +89,14 @@
 	return nil
 }
 
+// openAsStranger sets the data aside unread and begins anew under another identity.
+func (engine *Engine) openAsStranger() error {
+	if err := engine.replaceIdentity("the disk goes on failing reads", false); err != nil {
+		return err
+	}
+	return engine.openDB(newDevice(engine.base))
+}
+
 var errFolderLocked = errors.New("in use by another process")
 
 func (engine *Engine) path(name string) string { return engine.base.PathJoin(engine.params.Dir, name) }
--- a/internal/state/storage/reopen.go
+++ b/internal/state/storage/reopen.go
@@ -18,6 +18,7 @@
 		return fmt.Errorf("%w: %w", errFolderLocked, err)
 	}
 	lock.Close()
+	dev.releaseReserve = engine.reserve.release
 	options := engine.options(dev)
 	// An identity whose data have departed must not begin anew without them: they held what
 	// it had promised.
@@ -58,6 +59,7 @@
 	}
 	old.device.release(false)
 	dev := newDevice(engine.base)
+	dev.releaseReserve = engine.reserve.release
 	next, err := openInstance(engine.path("db"), dev, engine.options(dev))
 	if err != nil {
 		engine.params.Log("the folder can't be opened again yet", "err", err)
