Proxy: events of a stream that is taken up again are compared, none is handed on twice

Change: on routes that may be resumed events up to the last one that the caller has, by the system's count or the caller's own Last-Event-Id, are dropped: ids that are numbers by their order, others where they were handed on before. Measured: TestResumption (nine streams), TestReplayedEvents (runners that begin anew, cut after 1, 3 and 7 events); TestEveryByte, TestResumedByCaller: ok.

--- a/internal/dataplane/request/proxy/handler.go
+++ b/internal/dataplane/request/proxy/handler.go
@@ -118,6 +118,9 @@
 	return out
 }
 
+// lastEventHeader names the last event that a caller has (WHATWG, Server-sent events).
+const lastEventHeader = "Last-Event-Id"
+
 // ServeHTTP takes one job.
 func (handler *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &Job{Context: r.Context(), Arrived: time.Now(), View: handler.parts.View(), Req: r}
@@ -178,6 +181,9 @@
 			j.Path = x.Path(h, rawPath(j.Req))
 		}
 	}
+	if j.Path != nil && j.Path.Kind == spec.Stream && j.Path.Resumable {
+		response.resumable, response.callerHas = true, j.Req.Header.Get(lastEventHeader)
+	}
 	if j.Path == nil {
 		return Answer{Err: code.New(code.NoRoute, "no route for %s%s", j.Req.Host, rawPath(j.Req))}
 	}
--- a/internal/dataplane/request/proxy/response.go
+++ b/internal/dataplane/request/proxy/response.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -56,6 +57,11 @@
 	wrote   bool      // more than the head
 	moved   time.Time // when the job was sent or the last event came
 	last    string    // id of the last event forwarded; empty: it has none
+	// resumption drops events that the caller has had from an earlier run, resumable tells
+	// that there may be one, and callerHas is the id up to which the caller says it has them.
+	resumption resumption
+	resumable  bool
+	callerHas  string
 }
 
 // Begun reports whether the caller has seen the head.
@@ -131,6 +137,9 @@
 	if err := rc.Flush(); err != nil {
 		return errCaller
 	}
+	if response.resumable {
+		response.resumption.begin(cmp.Or(response.last, response.callerHas))
+	}
 	var ev []byte
 	for {
 		l, err := br.ReadSlice('\n')
@@ -146,6 +155,10 @@
 		}
 		// What ends without a blank line is forwarded and is no event.
 		complete := err == nil && blank(l) && len(ev) > len(l)
+		if complete && response.resumption.repeats(ev) {
+			ev = ev[:0]
+			continue
+		}
 		if complete || err != nil && len(ev) > 0 {
 			// Counted first: of a write that fails the caller may still get all.
 			if response.wrote = true; complete {
@@ -181,6 +194,9 @@
 		switch string(k) {
 		case "id":
 			response.last, named = string(v), true
+			if response.resumable {
+				response.resumption.handedOn(response.last)
+			}
 		case "data":
 			if response.collect {
 				response.text.Write(v)
--- a/internal/kit/proxytest/backend.go
+++ b/internal/kit/proxytest/backend.go
@@ -95,6 +95,7 @@
 	Work   time.Duration // until the first byte
 	Health string        // path of the health answer; empty: it has none
 	Chunks bool          // complete response come in chunks
+	Replay bool          // streams begin at their first event, whatever they are to go on after
 	NoEnd  bool          // answers say nowhere where they end: they end with the connection
 	// Streams reports whether a request is answered by events.
 	Streams func(*http.Request) bool
@@ -486,7 +487,10 @@
 
 func (b *Backend) stream(c net.Conn, q *http.Request, a answer, try string, f Fault, times float64) bool {
 	p := &b.P
-	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	after := 0
+	if !p.Replay {
+		after, _ = strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	}
 	a.head.Set("Content-Type", "text/event-stream")
 	var x bytes.Buffer
 	a.begin(&x, "Transfer-Encoding: chunked\r\n")
--- a/internal/kit/proxytest/ingress_test.go
+++ b/internal/kit/proxytest/ingress_test.go
@@ -474,6 +474,31 @@
 	})
 }
 
+// TestReplayedEvents: runners that begin a stream anew, whatever event they are asked to go
+// on after, have no event reach the caller twice, whether the system or the caller itself
+// takes the stream up again.
+func TestReplayedEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, before := range []int{1, 3, 7} {
+			r := newRig(t, farm(3, func(p *proxytest.Params) { p.Replay, p.Before = true, before }))
+			r.backends[0].Next(proxytest.TruncateStream)
+			r.backends[1].Next(proxytest.TruncateStream)
+			r.backends[2].Next(proxytest.TruncateStream)
+			x := r.ask(resumable+"x", "")
+			if want := r.backends[0].P.Text(x.try, 0); !strings.HasPrefix(want, x.body) || x.body == "" {
+				t.Errorf("cut after %d:\n%s\nwant the beginning of\n%s", before, x.body, want)
+			}
+			r.stop()
+			r = newRig(t, farm(1, func(p *proxytest.Params) { p.Replay = true }))
+			x = r.ask(resumable+"y", "", head("Last-Event-Id", "2"))
+			if want := r.backends[0].P.Text(x.try, 2); x.truncated || x.body != want {
+				t.Errorf("asked for after 2, cut %v:\n%s\nwant\n%s", x.truncated, x.body, want)
+			}
+			r.stop()
+		}
+	})
+}
+
 // TestCallerDisconnects: a runner's connection ends with its caller's, and no other runner
 // is tried.
 func TestCallerDisconnects(t *testing.T) {
