Calls: a connection serves more jobs only with runners whose answers name their job

Cause (docs/control-review.md): a refusal on POST /v1/run names no job, so that a second answer of a runner right after the next job has gone out on the same connection could be taken for that job's, and a job that ran be told as not run. Change: a runner that answers with X-Damsontiller-Job keeps its connections; others get one a job. An answer that is no success proves something only where it names the job, or names none on a connection that served no other. docs/runners.md asks for the header; the kit's runners send it.

--- a/internal/dataplane/request/call/call.go
+++ b/internal/dataplane/request/call/call.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"damsontiller/internal/coordination/storeclient"
@@ -39,6 +41,8 @@
 	Web         *http.Client
 	// Avoid is how long a runner seen draining is not picked here.
 	Avoid time.Duration
+
+	naming namingRunners
 }
 
 // NewWeb makes the client for runners over t; nil means the ordinary way.
@@ -152,7 +156,11 @@
 	// still there: its result is worth keeping.
 	ctx, stop := context.WithDeadline(context.WithoutCancel(c), c.AnswerBy)
 	defer stop()
-	q, err := newRequest(ctx, c.Runner.Addr, c.ID, body)
+	var reused atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused) },
+	})
+	q, err := newRequest(ctx, c.Runner.Addr, c.ID, body, p.naming.keeps(c.Runner.Addr))
 	if err != nil {
 		return job.Bad(code.RunnerFailure, "%w", err)
 	}
@@ -167,6 +175,7 @@
 		return p.lost(c, err)
 	}
 	defer r.Body.Close()
+	p.naming.observe(c.Runner.Addr, r.Header)
 	b, err := io.ReadAll(io.LimitReader(r.Body, MaxAnswer+1))
 	if err != nil || len(b) > MaxAnswer {
 		if r.StatusCode == http.StatusOK {
@@ -178,12 +187,15 @@
 	if r.StatusCode == http.StatusOK {
 		return p.complete(c, b)
 	}
+	if !answersJob(r.Header, c.ID, reused.Load()) {
+		return p.uncertain(c, code.Incomplete, "an answer that names another job or none", nil)
+	}
 	return p.refused(c, r, b)
 }
 
 // newRequest makes the request that passes a job. With no way to rewind its body,
-// net/http never sends it twice.
-func newRequest(ctx context.Context, addr, id string, body []byte) (*http.Request, error) {
+// net/http never sends it twice. keep tells that its connection may serve other jobs.
+func newRequest(ctx context.Context, addr, id string, body []byte, keep bool) (*http.Request, error) {
 	q, err := http.NewRequestWithContext(
 		ctx,
 		http.MethodPost,
@@ -195,7 +207,8 @@
 	}
 	q.ContentLength = int64(len(body))
 	q.Header.Set("Content-Type", "application/json")
-	q.Header.Set("X-Damsontiller-Job", id)
+	q.Header.Set(runnerapi.JobHeader, id)
+	q.Close = !keep
 	return q, nil
 }
 
--- a/internal/dataplane/request/call/call_test.go
+++ b/internal/dataplane/request/call/call_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"testing"
 
 	"damsontiller/internal/dataplane/request/job"
+	"damsontiller/internal/dataplane/request/runnerapi"
 )
 
 // pipeListener hands out the runner's ends of connections in memory.
@@ -37,7 +39,7 @@
 // post sends one job and reads its answer.
 func post(t *testing.T, web *http.Client, id string) (string, error) {
 	t.Helper()
-	q, err := newRequest(t.Context(), "10.0.0.1:80", id, []byte("the body"))
+	q, err := newRequest(t.Context(), "10.0.0.1:80", id, []byte("the body"), true)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -53,7 +55,7 @@
 // requestSize is how many bytes the request of a job has on the wire.
 func requestSize(t *testing.T, id string) int {
 	t.Helper()
-	q, err := newRequest(t.Context(), "10.0.0.1:80", id, []byte("the body"))
+	q, err := newRequest(t.Context(), "10.0.0.1:80", id, []byte("the body"), true)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -101,6 +103,78 @@
 	}
 }
 
+// TestUnnamedAnswers: a connection to a runner whose answers name no job serves one job
+// only; one to a runner that names them serves many, until it stops doing so.
+func TestUnnamedAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		names func(job int) bool
+		dials int
+	}{
+		{"never", func(int) bool { return false }, 5},
+		{"always", func(int) bool { return true }, 2}, // the first answer shows it
+		// The connection on which it came serves one more job, and counts as used.
+		{"not the third", func(job int) bool { return job != 3 }, 3},
+	} {
+		l, jobs := &pipeListener{}, 0
+		l.serve = func(_ int, c net.Conn) {
+			r := bufio.NewReader(c)
+			for {
+				q, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.ReadAll(q.Body)
+				jobs++
+				naming := ""
+				if tc.names(jobs) {
+					naming = "X-Damsontiller-Job: " + q.Header.Get(runnerapi.JobHeader) + "\r\n"
+				}
+				fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 0\r\n\r\n", naming)
+				if q.Close {
+					return
+				}
+			}
+		}
+		web := NewWeb(&http.Transport{DialContext: l.dial, DisableCompression: true})
+		naming := &namingRunners{}
+		for i := range 5 {
+			q, err := newRequest(t.Context(), "10.0.0.1:80", fmt.Sprint("j", i), nil, naming.keeps("10.0.0.1:80"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := web.Do(q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.ReadAll(r.Body)
+			r.Body.Close()
+			naming.observe("10.0.0.1:80", r.Header)
+		}
+		web.CloseIdleConnections()
+		l.wg.Wait()
+		if l.dials != tc.dials {
+			t.Errorf("%s named: %d connections for five jobs, want %d", tc.name, l.dials, tc.dials)
+		}
+	}
+}
+
+// TestAnswersJob: what a refusal proves about a job.
+func TestAnswersJob(t *testing.T) {
+	for _, tc := range []struct {
+		named        string
+		reused, want bool
+	}{{"j1", true, true}, {"j1", false, true}, {"j0", true, false}, {"j0", false, false}, {"", true, false}, {"", false, true}} {
+		h := http.Header{}
+		if tc.named != "" {
+			h.Set(runnerapi.JobHeader, tc.named)
+		}
+		if got := answersJob(h, "j1", tc.reused); got != tc.want {
+			t.Errorf("named %q, connection reused %v: %v", tc.named, tc.reused, got)
+		}
+	}
+}
+
 // TestRepeatable: turns and jobs with a key run once.
 func TestRepeatable(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/dataplane/request/runnerapi/runnerapi.go
+++ b/internal/dataplane/request/runnerapi/runnerapi.go
@@ -2,6 +2,9 @@
 // a runner and its reports. docs/runners.md describes it for their authors.
 package runnerapi
 
+// JobHeader names the job in a request of POST /v1/run, and in each answer to it.
+const JobHeader = "X-Damsontiller-Job"
+
 // Runner states.
 const (
 	Ready    = "ready"
--- a/internal/kit/runner/runner.go
+++ b/internal/kit/runner/runner.go
@@ -237,6 +237,7 @@
 		http.Error(w, "{}", http.StatusBadRequest)
 		return
 	}
+	w.Header().Set(runnerapi.JobHeader, j.Job)
 	e := Entry{Job: j.Job, Work: Work(j.Prompt), Program: j.Program, Addr: q.Host, Arrived: time.Now()}
 	r.mu.Lock()
 	o, admitted := r.admit(&e, j.Incarnation)
