Operators: an order may carry an id and be sent again after a lost answer

Change: Idempotency-Key on any order of that interface. TestFailures held that a change is sent to one machine only; it now holds that both requests bear the same id.

--- a/cmd/damsontiller-control/operator.go
+++ b/cmd/damsontiller-control/operator.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/rand"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"flag"
@@ -280,26 +282,40 @@
 // number of a failure that it reports becomes the error's.
 func askAt(addrs []string, wait time.Duration, method, path string, body []byte) error {
 	client := &http.Client{Timeout: wait}
+	// The cores take an order with an id once, so that it may be sent to a second machine
+	// where the first one's answer is lost.
+	id := newOperationID()
 	var last error
+	unknown := false
 	for _, addr := range addrs {
 		request, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(body))
 		if err != nil {
 			return err
 		}
 		request.Header.Set("Content-Type", "application/json")
+		if method != http.MethodGet {
+			request.Header.Set("Idempotency-Key", id)
+		}
 		response, err := client.Do(request)
 		if err == nil {
 			return printResponse(response)
 		}
 		last = err
-		// A change that may have arrived is not sent to a second machine.
-		if method != http.MethodGet && !errors.Is(err, syscall.ECONNREFUSED) {
-			return code.New(code.OutcomeUnknown, "the change may be in force, read the spec again: %w", err)
-		}
+		unknown = unknown || !errors.Is(err, syscall.ECONNREFUSED)
+	}
+	if unknown && method != http.MethodGet {
+		return code.New(code.OutcomeUnknown, "the change may be in force, read the spec again: %w", last)
 	}
 	return code.New(code.CoreUnreachable, "no core machine answers: %w", last)
 }
 
+// newOperationID draws an id for one order.
+func newOperationID() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
 // printResponse prints a response's JSON, or returns the failure that it carries.
 func printResponse(response *http.Response) error {
 	defer response.Body.Close()
--- a/cmd/damsontiller-control/operator_test.go
+++ b/cmd/damsontiller-control/operator_test.go
@@ -6,8 +6,9 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"testing"
 
 	"damsontiller/internal/transport/code"
@@ -84,7 +85,7 @@
 }
 
 // TestFailures: a failure's number and text reach the operator; a change that may have
-// arrived is not sent to a second machine.
+// arrived is sent to a second machine under the same id, and a question under none.
 func TestFailures(t *testing.T) {
 	conflict := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusConflict)
@@ -96,17 +97,29 @@
 	if code.Of(err) != code.SpecConflict || !strings.Contains(err.Error(), "version 4") {
 		t.Errorf("%v", err)
 	}
-	var asked atomic.Int32
-	closing := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
-		asked.Add(1)
+	var mu sync.Mutex
+	var ids []string
+	closing := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		mu.Lock()
+		ids = append(ids, q.Header.Get("Idempotency-Key"))
+		mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}))
 	defer closing.Close()
 	addr = strings.TrimPrefix(closing.URL, "http://")
 	err = operate([]string{"zone", "empty", "b", "-core", addr + "," + addr})
-	if code.Of(err) != code.OutcomeUnknown || asked.Load() != 1 {
-		t.Errorf("%v after %d requests", err, asked.Load())
+	mu.Lock()
+	if code.Of(err) != code.OutcomeUnknown || len(ids) != 2 || ids[0] == "" || ids[0] != ids[1] {
+		t.Errorf("%v after requests with the ids %q", err, ids)
 	}
+	ids = nil
+	mu.Unlock()
+	err = operate([]string{"members", "-core", addr + "," + addr})
+	mu.Lock()
+	if code.Of(err) != code.CoreUnreachable || slices.ContainsFunc(ids, func(id string) bool { return id != "" }) {
+		t.Errorf("%v after questions with the ids %q", err, ids)
+	}
+	mu.Unlock()
 	err = operate([]string{"members", "-core", "127.0.0.1:1"})
 	if code.Of(err) != code.CoreUnreachable {
 		t.Errorf("%v", err)
--- a/internal/coordination/cluster/cluster.go
+++ b/internal/coordination/cluster/cluster.go
@@ -397,6 +397,17 @@
 	ctx context.Context,
 	expect uint64,
 	f func(*spec.Cluster) error,
+) (uint64, []byte, error) {
+	return cluster.ChangeOnce(ctx, expect, spec.Operation{}, f)
+}
+
+// ChangeOnce is Change for an order that may be sent again: where it was taken before,
+// whatever has changed since, it changes nothing and is chosen once more.
+func (cluster *Cluster) ChangeOnce(
+	ctx context.Context,
+	expect uint64,
+	operation spec.Operation,
+	f func(*spec.Cluster) error,
 ) (uint64, []byte, error) {
 	// Changes of one process that race each other only outbid each other's
 	// ballots; they wait for their turn here.
@@ -410,22 +421,7 @@
 	var state register.State
 	work := func(s register.State) ([]byte, bool, error) {
 		seen = s.Version
-		if expect != 0 && s.Version != expect {
-			return nil, false, code.New(
-				code.SpecConflict,
-				"expected version %d, version %d is in force",
-				expect,
-				s.Version,
-			)
-		}
-		var re spec.Cluster
-		if err := re.UnmarshalJSON(s.Value); err != nil {
-			return nil, false, code.New(code.Garbled, "cluster %d: %w", s.Version, err)
-		}
-		if err := Edit(&re, s.Version+1, f); err != nil {
-			return nil, false, err
-		}
-		b, err := re.MarshalJSON()
+		b, err := edited(s, expect, operation, f)
 		return b, false, err
 	}
 	err := cluster.withVoters(ctx, func(ctx context.Context, set register.Set) (err error) {
@@ -443,6 +439,33 @@
 	return seen, nil, err
 }
 
+// edited is the register's value after f's change of a state.
+func edited(
+	s register.State,
+	expect uint64,
+	operation spec.Operation,
+	f func(*spec.Cluster) error,
+) ([]byte, error) {
+	var c spec.Cluster
+	if err := c.UnmarshalJSON(s.Value); err != nil {
+		return nil, code.New(code.Garbled, "cluster %d: %w", s.Version, err)
+	}
+	taken, err := c.TookOperation(operation)
+	switch {
+	case err != nil:
+		return nil, err
+	case taken:
+		return s.Value, nil
+	case expect != 0 && s.Version != expect:
+		return nil, code.New(code.SpecConflict, "expected version %d, version %d is in force", expect, s.Version)
+	}
+	if err := Edit(&c, s.Version+1, f); err != nil {
+		return nil, err
+	}
+	c.RememberOperation(operation)
+	return c.MarshalJSON()
+}
+
 // applyChosen puts a version in force that was chosen just now. Where the disk does not
 // take it, it is chosen all the same: this process then stays on its older version until
 // it receives a newer one again, and confirms none.
--- a/internal/coordination/core/operators.go
+++ b/internal/coordination/core/operators.go
@@ -28,11 +28,11 @@
 // Routes puts the operators' interface on e.
 func (c *Core) Routes(e *echo.Echo) {
 	e.GET("/v1/spec", c.getSpec)
-	e.PUT("/v1/spec", c.putSpec)
-	e.PATCH("/v1/spec", c.patchSpec)
+	e.PUT("/v1/spec", c.putSpec, identified)
+	e.PATCH("/v1/spec", c.patchSpec, identified)
 	e.GET("/v1/spec/versions/:ver", c.getVersion)
-	e.POST("/v1/zones/:zone/empty", func(x echo.Context) error { return c.changeZone(x, true) })
-	e.POST("/v1/zones/:zone/refill", func(x echo.Context) error { return c.changeZone(x, false) })
+	e.POST("/v1/zones/:zone/empty", func(x echo.Context) error { return c.changeZone(x, true) }, identified)
+	e.POST("/v1/zones/:zone/refill", func(x echo.Context) error { return c.changeZone(x, false) }, identified)
 	e.GET("/v1/explain", c.explain)
 	e.GET("/v1/members", c.getMembers)
 	e.GET("/v1/health", c.getHealth)
@@ -160,7 +160,17 @@
 // it is in force. An error means that it was not chosen, or is uncertain; on a
 // conflict the version in force is given.
 func (c *Core) Change(ctx context.Context, expect uint64, f func(*spec.Cluster) error) (Ack, error) {
-	ver, raw, err := c.Cluster.Change(ctx, expect, f)
+	return c.changeOnce(ctx, expect, spec.Operation{}, f)
+}
+
+// changeOnce is Change for an order that may be sent again.
+func (c *Core) changeOnce(
+	ctx context.Context,
+	expect uint64,
+	operation spec.Operation,
+	f func(*spec.Cluster) error,
+) (Ack, error) {
+	ver, raw, err := c.Cluster.ChangeOnce(ctx, expect, operation, f)
 	if err != nil {
 		return Ack{Version: ver}, err
 	}
@@ -185,7 +195,7 @@
 func (c *Core) change(x echo.Context, expect uint64, f func(*spec.Cluster) error) error {
 	ctx, stop := context.WithTimeout(x.Request().Context(), c.params.AckTimeout)
 	defer stop()
-	a, err := c.Change(ctx, expect, f)
+	a, err := c.changeOnce(ctx, expect, operationOf(x), f)
 	switch {
 	case err != nil:
 		p := web.Of(err)
--- a/internal/coordination/core/policies.go
+++ b/internal/coordination/core/policies.go
@@ -14,13 +14,13 @@
 // policyRoutes puts the commands for policy programs on e.
 func (c *Core) policyRoutes(e *echo.Echo) {
 	e.GET("/v1/policies", c.getPolicies)
-	e.PUT("/v1/policies/:name", c.putPolicy)
-	e.DELETE("/v1/policies/:name", c.deletePolicy)
-	e.POST("/v1/policies/:name/approve", c.approve)
-	e.POST("/v1/policies/live", c.live)
+	e.PUT("/v1/policies/:name", c.putPolicy, identified)
+	e.DELETE("/v1/policies/:name", c.deletePolicy, identified)
+	e.POST("/v1/policies/:name/approve", c.approve, identified)
+	e.POST("/v1/policies/live", c.live, identified)
 	e.POST("/v1/policies/off", func(x echo.Context) error {
 		return c.changeSpec(x, 0, func(s *spec.Spec) error { s.Live = nil; return nil })
-	})
+	}, identified)
 }
 
 // policyRow is a policy as operators see it.
--- a/internal/coordination/core/setorders.go
+++ b/internal/coordination/core/setorders.go
@@ -17,9 +17,9 @@
 // setRoutes puts the commands for sets on e.
 func (c *Core) setRoutes(e *echo.Echo) {
 	e.GET("/v1/sets", c.getSets)
-	e.POST("/v1/sets/:set/admit", func(x echo.Context) error { return c.changeSet(x, c.admit) })
-	e.POST("/v1/sets/:set/retire", func(x echo.Context) error { return c.changeSet(x, c.retire) })
-	e.POST("/v1/sets/:set/abandon", func(x echo.Context) error { return c.changeSet(x, c.abandon) })
+	e.POST("/v1/sets/:set/admit", func(x echo.Context) error { return c.changeSet(x, c.admit) }, identified)
+	e.POST("/v1/sets/:set/retire", func(x echo.Context) error { return c.changeSet(x, c.retire) }, identified)
+	e.POST("/v1/sets/:set/abandon", func(x echo.Context) error { return c.changeSet(x, c.abandon) }, identified)
 }
 
 // setOrder is an operator's order about a set.
--- a/internal/kit/sim/orders_test.go
+++ b/internal/kit/sim/orders_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -36,6 +37,15 @@
 // begin sends a request to a core's control address; the answer comes whenever it
 // comes.
 func begin(s *sim.Sim, core, method, path, base, body string) <-chan reply {
+	header := http.Header{}
+	if base != "" {
+		header.Set("X-Damsontiller-Base-Revision", base)
+	}
+	return beginWith(s, core, method, path, header, body)
+}
+
+// beginWith sends a request with headers of its own.
+func beginWith(s *sim.Sim, core, method, path string, header http.Header, body string) <-chan reply {
 	done := make(chan reply, 1)
 	c := s.Core(core)
 	if c == nil {
@@ -46,9 +56,7 @@
 	(&control.Handler{Core: c, Sets: c}).Routes(e)
 	c.Routes(e)
 	q := httptest.NewRequest(method, path, strings.NewReader(body))
-	if base != "" {
-		q.Header.Set("X-Damsontiller-Base-Revision", base)
-	}
+	maps.Copy(q.Header, header)
 	go func() {
 		time.Sleep(time.Millisecond)
 		s.Net.Stand(s.Get(core).Addr)
@@ -385,3 +393,63 @@
 		}
 	})
 }
+
+// TestOrdersWithID: each order of the product's own interface that carries an id is told that
+// it was taken when it is sent again, to another core and after another change; without an
+// id it is told what is so by now. Another order under the same id is refused.
+func TestOrdersWithID(t *testing.T) {
+	t.Parallel()
+	selfManaged(t, 161, func(ctx context.Context, s *sim.Sim) {
+		launch(t, ctx, s, false, "s4", "s5")
+		inForce(t, s, 5*time.Second, "c1 c2 c3", "s1 s2 s3 s4 s5")
+		send := func(core, method, path, body, id string) reply {
+			header := http.Header{}
+			if id != "" {
+				header.Set("Idempotency-Key", id)
+			}
+			return <-beginWith(s, core, method, path, header, body)
+		}
+		put := func() string {
+			v := s.View("c1")
+			b, err := v.Spec.MarshalJSON()
+			if err != nil {
+				t.Fatal(err)
+			}
+			return fmt.Sprintf(`{"expect":%d,"spec":%s}`, v.Version, b)
+		}
+		for i, tc := range []struct {
+			method, path string
+			body         func() string
+			again        int // status without an id
+		}{
+			{http.MethodPut, "/v1/spec", put, http.StatusConflict},
+			{http.MethodPatch, "/v1/spec", func() string { return `{"cooldown":{"first_ms":1500}}` }, http.StatusOK},
+			{http.MethodPost, "/v1/zones/a/empty", func() string { return "" }, http.StatusOK},
+			{http.MethodPost, "/v1/zones/a/refill", func() string { return "" }, http.StatusOK},
+			{http.MethodPost, "/v1/sets/stores/retire", func() string { return `{"id":"s4"}` }, http.StatusBadRequest},
+		} {
+			id, body := fmt.Sprint("id-", i), tc.body()
+			if r := send("c1", tc.method, tc.path, body, id); r.status != http.StatusOK && r.status != http.StatusAccepted {
+				t.Fatalf("%s %s: %+v", tc.method, tc.path, r)
+			}
+			time.Sleep(4 * time.Second)
+			change(t, s, "in between")
+			if r := send("c2", tc.method, tc.path, body, id); r.status != http.StatusOK {
+				t.Errorf("%s %s again: %+v", tc.method, tc.path, r)
+			}
+			other := body + " "
+			if body == "" {
+				other = `{"force":true}`
+			}
+			if r := send("c3", tc.method, tc.path, other, id); r.code != code.KeyReused {
+				t.Errorf("%s %s, another under its id: %+v", tc.method, tc.path, r)
+			}
+			if r := send("c2", tc.method, tc.path, body, ""); r.status != tc.again && (tc.again == http.StatusOK || r.status < 400) {
+				t.Errorf("%s %s without an id: %+v", tc.method, tc.path, r)
+			}
+		}
+		if r := send("c1", http.MethodPatch, "/v1/spec", "{}", strings.Repeat("x", 200)); r.code != code.BadHeader {
+			t.Errorf("an id of 200 bytes: %+v", r)
+		}
+	})
+}
--- a/internal/proto/spec/types.go
+++ b/internal/proto/spec/types.go
@@ -165,6 +165,8 @@
 	TakenLog   []byte  `json:"taken_log,omitempty"`
 	TakenFloor uint64  `json:"taken_floor,omitempty"`
 	Taken      []Taken `json:"taken,omitempty"`
+	// OperationLog remembers the latest orders that carried an id (operations.go).
+	OperationLog []byte `json:"operations,omitempty"`
 	// Copies is how many stores hold each key; 0 means 3.
 	Copies int `json:"copies,omitempty"`
 	// SelfManaged: the sets are self-managed; no operator takes machines in.
--- a/internal/proto/spec/types_easyjson.go
+++ b/internal/proto/spec/types_easyjson.go
@@ -2017,6 +2017,13 @@
 				}
 				in.Delim(']')
 			}
+		case "operations":
+			if in.IsNull() {
+				in.Skip()
+				out.OperationLog = nil
+			} else {
+				out.OperationLog = in.Bytes()
+			}
 		case "copies":
 			if in.IsNull() {
 				in.Skip()
@@ -2045,13 +2052,13 @@
 					out.Spares = (out.Spares)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v53 string
+					var v54 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v53 = string(in.String())
+						v54 = string(in.String())
 					}
-					out.Spares = append(out.Spares, v53)
+					out.Spares = append(out.Spares, v54)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2072,13 +2079,13 @@
 					out.Retired = (out.Retired)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v54 string
+					var v55 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v54 = string(in.String())
+						v55 = string(in.String())
 					}
-					out.Retired = append(out.Retired, v54)
+					out.Retired = append(out.Retired, v55)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2108,11 +2115,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v55, v56 := range in.Cores {
-				if v55 > 0 {
+			for v56, v57 := range in.Cores {
+				if v56 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec15(out, v56)
+				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec15(out, v57)
 			}
 			out.RawByte(']')
 		}
@@ -2124,11 +2131,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v57, v58 := range in.Stores {
-				if v57 > 0 {
+			for v58, v59 := range in.Stores {
+				if v58 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec15(out, v58)
+				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec15(out, v59)
 			}
 			out.RawByte(']')
 		}
@@ -2138,11 +2145,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v59, v60 := range in.NextCores {
-				if v59 > 0 {
+			for v60, v61 := range in.NextCores {
+				if v60 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec15(out, v60)
+				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec15(out, v61)
 			}
 			out.RawByte(']')
 		}
@@ -2152,11 +2159,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v61, v62 := range in.NextStores {
-				if v61 > 0 {
+			for v62, v63 := range in.NextStores {
+				if v62 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec15(out, v62)
+				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec15(out, v63)
 			}
 			out.RawByte(']')
 		}
@@ -2176,11 +2183,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v63, v64 := range in.Used {
-				if v63 > 0 {
+			for v64, v65 := range in.Used {
+				if v64 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v64))
+				out.String(string(v65))
 			}
 			out.RawByte(']')
 		}
@@ -2215,15 +2222,20 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v67, v68 := range in.Taken {
-				if v67 > 0 {
+			for v68, v69 := range in.Taken {
+				if v68 > 0 {
 					out.RawByte(',')
 				}
-				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec16(out, v68)
+				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec16(out, v69)
 			}
 			out.RawByte(']')
 		}
 	}
+	if len(in.OperationLog) != 0 {
+		const prefix string = ",\"operations\":"
+		out.RawString(prefix)
+		out.Base64Bytes(in.OperationLog)
+	}
 	if in.Copies != 0 {
 		const prefix string = ",\"copies\":"
 		out.RawString(prefix)
@@ -2239,11 +2251,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v69, v70 := range in.Spares {
-				if v69 > 0 {
+			for v72, v73 := range in.Spares {
+				if v72 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v70))
+				out.String(string(v73))
 			}
 			out.RawByte(']')
 		}
@@ -2253,11 +2265,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v71, v72 := range in.Retired {
-				if v71 > 0 {
+			for v74, v75 := range in.Retired {
+				if v74 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v72))
+				out.String(string(v75))
 			}
 			out.RawByte(']')
 		}
@@ -2592,13 +2604,13 @@
 					out.MissedByRun = (out.MissedByRun)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v73 int64
+					var v76 int64
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v73 = int64(in.Int64())
+						v76 = int64(in.Int64())
 					}
-					out.MissedByRun = append(out.MissedByRun, v73)
+					out.MissedByRun = append(out.MissedByRun, v76)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2648,9 +2660,9 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v74 Wait
-					easyjson6601e8cdDecodeDamsontillerInternalProtoSpec19(in, &v74)
-					(out.Waits)[key] = v74
+					var v77 Wait
+					easyjson6601e8cdDecodeDamsontillerInternalProtoSpec19(in, &v77)
+					(out.Waits)[key] = v77
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -2700,11 +2712,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v75, v76 := range in.MissedByRun {
-				if v75 > 0 {
+			for v78, v79 := range in.MissedByRun {
+				if v78 > 0 {
 					out.RawByte(',')
 				}
-				out.Int64(int64(v76))
+				out.Int64(int64(v79))
 			}
 			out.RawByte(']')
 		}
@@ -2746,16 +2758,16 @@
 			out.RawString(`null`)
 		} else {
 			out.RawByte('{')
-			v77First := true
-			for v77Name, v77Value := range in.Waits {
-				if v77First {
-					v77First = false
+			v80First := true
+			for v80Name, v80Value := range in.Waits {
+				if v80First {
+					v80First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v77Name))
+				out.String(string(v80Name))
 				out.RawByte(':')
-				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec19(out, v77Value)
+				easyjson6601e8cdEncodeDamsontillerInternalProtoSpec19(out, v80Value)
 			}
 			out.RawByte('}')
 		}
