Callers that read nothing, or send their body for ever, are not waited for

Cause: the review of waits outside the hub (docs/control-review.md) found two without a bound: an answer to a caller that does not read it, and a body that does not come to its end; a goroutine and a runner's connection were held for as long as the connection lived. Change: the proxy sets deadlines for the body and the answer by the job's own; a body that comes too late is 408; the operators' and the product's interface give ten seconds for reading an answer.

--- a/internal/coordination/web/web.go
+++ b/internal/coordination/web/web.go
@@ -60,9 +60,24 @@
 			log.Debug("answer not sent", "err", jerr)
 		}
 	}
+	e.Use(boundAnswers)
 	return e
 }
 
+// answerTimeout is how long a caller has to read an answer. All answers here are made
+// before their first byte is written.
+const answerTimeout = 10 * time.Second
+
+// boundAnswers ends the connection of a caller that does not read its answer.
+func boundAnswers(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(x echo.Context) error {
+		x.Response().Before(func() {
+			_ = http.NewResponseController(x.Response().Writer).SetWriteDeadline(time.Now().Add(answerTimeout))
+		})
+		return next(x)
+	}
+}
+
 // Fail answers with the failure's own status.
 func Fail(c echo.Context, err error) error {
 	p := Of(err)
--- a/internal/dataplane/request/proxy/handler.go
+++ b/internal/dataplane/request/proxy/handler.go
@@ -118,6 +118,9 @@
 	return out
 }
 
+// callerSlack is how long past a job's deadline its caller has to read the answer.
+const callerSlack = 2 * time.Second
+
 // lastEventHeader names the last event that a caller has (WHATWG, Server-sent events).
 const lastEventHeader = "Last-Event-Id"
 
@@ -125,6 +128,10 @@
 func (handler *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &Job{Context: r.Context(), Arrived: time.Now(), View: handler.parts.View(), Req: r}
 	response := &Response{w: w}
+	caller := http.NewResponseController(w)
+	// A caller that does not read is not waited for. The deadline holds on for what the
+	// server still writes, and the next request on the connection sets its own.
+	_ = caller.SetWriteDeadline(j.Arrived.Add(handler.params.StartupWait + callerSlack))
 	a := handler.do(j, response)
 	handler.mu.Lock()
 	handler.counts[code.Of(a.Err).Name()]++
@@ -194,16 +201,18 @@
 	if n := j.View.Table.Limits.BodyBytes; n > 0 {
 		most = n
 	}
-	b, err := body(j.Req, most)
-	if err != nil {
-		return Answer{Err: err}
-	}
-	j.Body = b
 	patience := time.Duration(j.Path.GuardMs) * time.Millisecond
 	if j.Wait > 0 {
 		patience = min(patience, j.Wait-handler.params.Margin)
 	}
 	j.AnswerBy = j.Arrived.Add(patience)
+	caller := http.NewResponseController(response.w)
+	_ = caller.SetWriteDeadline(j.AnswerBy.Add(callerSlack))
+	b, err := bodyBy(caller, j, most)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	j.Body = b
 	if patience <= 0 {
 		return Refuse(code.New(code.DeadlinePassed, "no time is left"), 0)
 	}
@@ -231,7 +240,20 @@
 	return p
 }
 
-// body reads an entire body.
+// bodyBy reads an entire body, for as long as the job may take.
+func bodyBy(caller *http.ResponseController, j *Job, most int64) ([]byte, error) {
+	if j.Req.ContentLength == 0 {
+		return nil, nil
+	}
+	_ = caller.SetReadDeadline(j.AnswerBy.Add(callerSlack))
+	b, err := body(j.Req, most)
+	if err == nil {
+		_ = caller.SetReadDeadline(time.Time{})
+	}
+	return b, err
+}
+
+// body reads a request's body up to a limit.
 func body(r *http.Request, most int64) ([]byte, error) {
 	if r.ContentLength > most {
 		return nil, code.New(code.TooLarge, "more than %d bytes", most)
@@ -247,6 +269,9 @@
 	} else {
 		b, err = io.ReadAll(io.LimitReader(r.Body, most+1))
 	}
+	if isTimeout(err) {
+		return nil, code.New(code.BodyLost, "body did not come in time: %w", err)
+	}
 	if err != nil {
 		return nil, code.New(code.BadJSON, "body can't be read: %w", err)
 	}
@@ -279,7 +304,7 @@
 	return Refuse(code.New(code.NoRunner, "no runner of %s: %s", j.Service.Name, why), 150*time.Millisecond)
 }
 
-func isBroken(err error) bool {
+func isTimeout(err error) bool {
 	var n net.Error
 	return errors.As(err, &n) && n.Timeout() || errors.Is(err, context.DeadlineExceeded)
 }
--- a/internal/dataplane/request/proxy/verdict.go
+++ b/internal/dataplane/request/proxy/verdict.go
@@ -63,7 +63,7 @@
 // outcomeOfLoss sorts out a send without a complete response: it may have run.
 func (x *exchange) outcomeOfLoss(err error) attemptResult {
 	load := x.handler.parts.Load
-	ended := x.j.Err() == nil && !isBroken(err)
+	ended := x.j.Err() == nil && !isTimeout(err)
 	if ended || x.hung() {
 		// Who receives nothing for very long receives it from a runner that hangs.
 		load.Watch.Failure(x.r.ID)
--- a/internal/kit/proxytest/ingress_test.go
+++ b/internal/kit/proxytest/ingress_test.go
@@ -1,8 +1,13 @@
 package proxytest_test
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"net"
+	"os"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -584,3 +589,62 @@
 }
 
 var _ proxy.Headers = dialect{}
+
+// TestCallerDoesNotRead: a caller that asks and reads nothing, or sends its body for ever,
+// is not waited for past its job's time, whatever is left of the answer.
+func TestCallerDoesNotRead(t *testing.T) {
+	for _, tc := range []struct{ name, ask string }{
+		{"a stream", "GET /s/x HTTP/1.1\r\nHost: host.test\r\nX-Test-Try: t\r\nX-Test-Wait: 2000\r\n\r\n"},
+		{"an answer", "GET /g/x HTTP/1.1\r\nHost: host.test\r\nX-Test-Try: t\r\nX-Test-Wait: 2000\r\n\r\n"},
+		{"no route", "GET /none/x HTTP/1.1\r\nHost: host.test\r\nX-Test-Try: t\r\n\r\n"},
+		{"half a body", "POST /s/x HTTP/1.1\r\nHost: host.test\r\nX-Test-Try: t\r\nX-Test-Wait: 2000\r\nContent-Length: 10\r\n\r\nhalf"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, farm(2, func(p *proxytest.Params) { p.Pace = 10 * time.Millisecond }))
+			defer r.stop()
+			// A pipe without any buffer of its own: what is not read holds its writer up.
+			ours, theirs := net.Pipe()
+			var done sync.WaitGroup
+			done.Go(func() { _ = r.http.Serve(&oneConn{conn: theirs, closed: make(chan struct{})}) })
+			done.Go(func() { fmt.Fprint(ours, tc.ask) })
+			time.Sleep(8 * time.Second)
+			if own := r.load.Own(); len(own) > 0 {
+				t.Errorf("%s: still under way: %v", tc.name, own)
+			}
+			_ = ours.SetReadDeadline(time.Now().Add(time.Second))
+			if _, err := io.Copy(io.Discard, ours); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("%s: the connection is still there", tc.name)
+			}
+			ours.Close()
+			_ = r.http.Close()
+			done.Wait()
+		})
+	}
+}
+
+// oneConn is a listener that gives one connection.
+type oneConn struct {
+	conn   net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (l *oneConn) Accept() (c net.Conn, err error) {
+	l.once.Do(func() { c = l.conn })
+	if c == nil {
+		<-l.closed
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *oneConn) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+func (l *oneConn) Addr() net.Addr { return l.conn.LocalAddr() }
