Admission: calls between processes are taken by class, bytes held and standing wait

Change: package admission. Votes of the cluster's register and renewals of leases, then what a change waits for, then requests, then bulk: each class may hold its share of 32 MB of calls and unwritten answers, and is refused (518, with when to come back) while the least wait of 100 ms is above its target. A call states its caller's remaining time; one that waited longer is dropped unserved. A refusal for capacity proves that nothing was accepted. No fleet was overloaded with it yet.

--- a/internal/coordination/cluster/cluster.go
+++ b/internal/coordination/cluster/cluster.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"damsontiller/internal/proto/keys"
 	"damsontiller/internal/proto/register"
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/proto/wire"
@@ -20,7 +21,7 @@
 )
 
 // Key is the spec's register.
-const Key = "spec"
+const Key = keys.Cluster
 
 // defaultCopies is how many stores hold each key where the cluster does not say.
 const defaultCopies = 3
--- a/internal/coordination/peer/peer.go
+++ b/internal/coordination/peer/peer.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"damsontiller/internal/coordination/admission"
 	"damsontiller/internal/proto/wire"
 	"damsontiller/internal/transport"
 	"damsontiller/internal/transport/code"
@@ -35,6 +36,11 @@
 	handlers map[reflect.Type]Handler
 	server   *transport.Server
 
+	// Admission decides which calls are taken while there are more than can be served.
+	Admission *admission.Controller
+	// Processor, if set, is what calls wait for; simulations set it before Serve.
+	Processor Processor
+
 	ident  atomic.Pointer[identity]
 	starts sync.Map // the latest start seen at each address
 }
@@ -81,6 +87,7 @@
 		net:        n,
 		params:     p,
 		handlers:   map[reflect.Type]Handler{},
+		Admission:  admission.New(admission.DefaultParams),
 	}
 	peer.Self = wire.Member{
 		Id:    self.Id,
@@ -142,15 +149,44 @@
 // Sent counts the calls made.
 func (peer *Peer) Sent() uint64 { return peer.hub.Sent.Load() }
 
-func (peer *Peer) answer(ctx context.Context, body []byte) []byte {
+// answer admits a call and serves it.
+func (peer *Peer) answer(ctx context.Context, call *transport.Call) []byte {
 	q := &wire.Req{}
-	if err := wire.Decode(body, q); err != nil {
+	if err := wire.Decode(call.Body, q); err != nil {
 		return wire.MustEncode(wire.ErrorResponse(err))
 	}
 	if peer.Partitions.Has(q.From) {
 		return nil
 	}
 	peer.observeStart(q)
+	peer.process(ctx, readCost(call))
+	held := int64(len(call.Body))
+	waited := time.Since(call.ReadAt)
+	if err := peer.Admission.Admit(classOf(q), held, waited, time.Now()); err != nil {
+		return wire.MustEncode(wire.ErrorResponse(err))
+	}
+	call.OnDone = func() { peer.Admission.Release(held) }
+	if left := time.Duration(q.RemainingMs)*time.Millisecond - waited; q.RemainingMs > 0 {
+		if left <= 0 {
+			// Its caller has given it up.
+			peer.Admission.Expired()
+			return nil
+		}
+		if mayWait(q) {
+			var stop context.CancelFunc
+			ctx, stop = context.WithTimeout(ctx, left)
+			defer stop()
+		}
+	}
+	peer.process(ctx, serveCost(call))
+	b := peer.serve(ctx, q)
+	peer.Admission.Hold(int64(len(b)))
+	held += int64(len(b))
+	return b
+}
+
+// serve answers a call that was admitted.
+func (peer *Peer) serve(ctx context.Context, q *wire.Req) []byte {
 	r, err := peer.dispatch(ctx, q)
 	if err != nil {
 		f := wire.ErrorResponse(err)
@@ -205,6 +241,9 @@
 // Call sends a request. The answer may come back beside a failure.
 func (peer *Peer) Call(ctx context.Context, addr string, q *wire.Req) (*wire.Resp, error) {
 	q.Ver, q.From, q.Id, q.Inc = wire.Version, peer.Self.Addr, peer.Self.Id, peer.Incarnation()
+	if deadline, ok := ctx.Deadline(); ok {
+		q.RemainingMs = max(time.Until(deadline).Milliseconds(), 1)
+	}
 	body, err := wire.Encode(q)
 	if err != nil {
 		return nil, err
--- a/internal/proto/keys/keys.go
+++ b/internal/proto/keys/keys.go
@@ -3,6 +3,9 @@
 // code has come to use another word.
 package keys
 
+// Cluster is the key of the cluster's register, at the cores.
+const Cluster = "spec"
+
 // Prefixes of the keys of registers.
 const (
 	// ClaimPrefix is that of claims: idempotency keys and what became of their work.
--- a/internal/proto/register/round.go
+++ b/internal/proto/register/round.go
@@ -190,7 +190,7 @@
 	switch code.Of(g.err) {
 	case code.OldBallot:
 		return wire.CompareBallots(g.resp.GetView().GetAccepted(), ballot) != 0
-	case code.StaleSpec, code.WrongIdentity, code.NotVoting, code.UnknownMessage:
+	case code.StaleSpec, code.WrongIdentity, code.NotVoting, code.UnknownMessage, code.Overloaded:
 		return true
 	}
 	return errors.Is(g.err, transport.ErrRefused)
--- a/internal/proto/wire/wire.go
+++ b/internal/proto/wire/wire.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -24,7 +25,12 @@
 
 // ErrorResponse makes the answer that carries a failure.
 func ErrorResponse(err error) *Resp {
-	return &Resp{Ver: Version, Code: uint32(code.Of(err)), Text: strings.ToValidUTF8(code.Text(err), "?")}
+	return &Resp{
+		Ver:          Version,
+		Code:         uint32(code.Of(err)),
+		Text:         strings.ToValidUTF8(code.Text(err), "?"),
+		RetryAfterMs: code.RetryAfter(err).Milliseconds(),
+	}
 }
 
 // OKResponse is the bare good answer.
@@ -35,7 +41,9 @@
 	if r.GetCode() == 0 {
 		return nil
 	}
-	return code.New(code.Code(r.Code), "%s", r.Text)
+	f := code.New(code.Code(r.Code), "%s", r.Text)
+	f.RetryAfter = time.Duration(r.RetryAfterMs) * time.Millisecond
+	return f
 }
 
 // Accept is the accept that a request carries in either of its two forms; nil where it
--- a/internal/state/storage/bench_test.go
+++ b/internal/state/storage/bench_test.go
@@ -77,7 +77,8 @@
 			b.Context(),
 			countedListener{ln, cs},
 			transport.DefaultParams,
-			func(_ context.Context, body []byte) []byte {
+			func(_ context.Context, call *transport.Call) []byte {
+				body := call.Body
 				q := &wire.Req{}
 				if err := wire.Decode(body, q); err != nil {
 					return wire.MustEncode(wire.ErrorResponse(err))
--- a/internal/transport/batch_test.go
+++ b/internal/transport/batch_test.go
@@ -49,7 +49,7 @@
 
 // TestTogether: frames that go out together come in apart, over TCP and in memory.
 func TestTogether(t *testing.T) {
-	echo := func(_ context.Context, b []byte) []byte { return b }
+	echo := func(_ context.Context, call *transport.Call) []byte { return call.Body }
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -98,7 +98,7 @@
 			t.Context(),
 			ln,
 			transport.DefaultParams,
-			func(_ context.Context, b []byte) []byte { return b },
+			func(_ context.Context, call *transport.Call) []byte { return call.Body },
 			func(error) {},
 		)
 		var sent atomic.Int64
--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -39,7 +39,7 @@
 		b.Context(),
 		ln,
 		transport.DefaultParams,
-		func(_ context.Context, body []byte) []byte { return body },
+		func(_ context.Context, call *transport.Call) []byte { return call.Body },
 		func(error) {},
 	)
 	defer s.Close()
--- a/internal/transport/code/code.go
+++ b/internal/transport/code/code.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // Code is a result number. Its hundreds say who speaks: 1 the API's checks, 2 rejections
@@ -219,6 +220,8 @@
 type Failure struct {
 	Code Code
 	Err  error
+	// RetryAfter is when to come back, where the failure says so; 0: it does not.
+	RetryAfter time.Duration
 }
 
 func (p *Failure) Error() string { return fmt.Sprintf("%d %s: %v", int(p.Code), p.Code.Name(), p.Err) }
@@ -228,7 +231,7 @@
 
 // New makes a failure; its words go through fmt.Errorf.
 func New(c Code, format string, a ...any) *Failure {
-	return &Failure{c, fmt.Errorf(format, a...)}
+	return &Failure{Code: c, Err: fmt.Errorf(format, a...)}
 }
 
 // Of finds the number of an error; an unnumbered one is Unknown.
@@ -243,6 +246,18 @@
 	return Unknown
 }
 
+// RetryAfter is when an error says to come back; 0: it does not say.
+func RetryAfter(err error) time.Duration {
+	var p *Failure
+	for errors.As(err, &p) {
+		if p.RetryAfter > 0 {
+			return p.RetryAfter
+		}
+		err = p.Err
+	}
+	return 0
+}
+
 // Text is the message without the number.
 func Text(err error) string {
 	var p *Failure
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -29,6 +29,8 @@
 	kind byte
 	id   uint64
 	body []byte
+	// written, if set, is called once the frame has been written, or never will be.
+	written func()
 }
 
 // headOf lays down a frame's head: magic, version, kind, zero, length (4), id (8).
@@ -95,36 +97,104 @@
 	}
 }
 
-// writeAll is the one writer of a connection. What waits goes out together.
-func writeAll(c net.Conn, out <-chan frame, done <-chan struct{}, end func(error)) {
-	_, split := c.(*net.TCPConn)
+// writer is the one writer of a connection. What waits goes out together.
+type writer struct {
+	conn net.Conn
+	out  chan frame
+	done <-chan struct{} // closed once the connection has ended
+	end  func(error)
+
+	mu      sync.Mutex
+	stopped bool // nothing is enqueued any more
+}
+
+// enqueue hands a frame to the writer. It waits while too many wait, and reports false where
+// the connection has ended; then the frame's written is not called.
+func (w *writer) enqueue(f frame) bool {
+	select {
+	case <-w.done:
+		return false
+	default:
+	}
+	select {
+	case w.out <- f:
+	case <-w.done:
+		return false
+	}
+	// Where the writer has stopped meanwhile nobody else looks at what waits.
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		w.drop()
+	}
+	return true
+}
+
+// run writes until the connection ends.
+func (w *writer) run() {
+	_, split := w.conn.(*net.TCPConn)
+	var written []func()
+	add := func(o *batch, f frame) {
+		o.add(f, split)
+		if f.written != nil {
+			written = append(written, f.written)
+		}
+	}
 	for {
 		select {
-		case <-done:
+		case <-w.done:
+			w.stop()
 			return
-		case f := <-out:
+		case f := <-w.out:
 			o := batches.Get().(*batch)
-			o.add(f, split)
+			add(o, f)
 			// Whoever is ready to add to it goes first.
 			runtime.Gosched()
 			for more := true; more && o.size() < outBuf; {
 				select {
-				case f := <-out:
-					o.add(f, split)
+				case f := <-w.out:
+					add(o, f)
 				default:
 					more = false
 				}
 			}
-			err := o.write(c)
+			err := o.write(w.conn)
 			o.free()
+			for _, f := range written {
+				f()
+			}
+			written = written[:0]
 			if err != nil {
-				end(err)
+				w.end(err)
+				w.stop()
 				return
 			}
 		}
 	}
 }
 
+// stop drops what waits, now and later.
+func (w *writer) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.drop()
+}
+
+// drop takes what waits and tells that it will not be written. The caller holds the lock.
+func (w *writer) drop() {
+	for {
+		select {
+		case f := <-w.out:
+			if f.written != nil {
+				f.written()
+			}
+		default:
+			return
+		}
+	}
+}
+
 func readFrame(r *bufio.Reader, most int) (frame, error) {
 	h, err := r.Peek(headLen)
 	if err != nil {
--- a/internal/transport/hub.go
+++ b/internal/transport/hub.go
@@ -261,7 +261,7 @@
 	h.closeIdle(time.Now())
 	h.all[addr] = n
 	h.mu.Unlock()
-	go writeAll(c, n.out, n.done, n.end)
+	go (&writer{conn: c, out: n.out, done: n.done, end: n.end}).run()
 	go n.read(h.p.MaxFrame)
 	return n, nil
 }
--- a/internal/transport/idle_test.go
+++ b/internal/transport/idle_test.go
@@ -30,7 +30,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		slow := transport.Serve(t.Context(), ln, transport.DefaultParams, func(_ context.Context, b []byte) []byte {
+		slow := transport.Serve(t.Context(), ln, transport.DefaultParams, func(_ context.Context, call *transport.Call) []byte {
+			b := call.Body
 			time.Sleep(3 * transport.DefaultParams.Idle)
 			return b
 		}, func(error) { bad.Add(1) })
--- a/internal/transport/serve.go
+++ b/internal/transport/serve.go
@@ -6,12 +6,29 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"damsontiller/internal/transport/code"
 )
 
-// Handler answers one call; a nil answer means the call is swallowed.
-type Handler func(ctx context.Context, body []byte) []byte
+// Call is a call as it came.
+type Call struct {
+	Body   []byte
+	ReadAt time.Time // when it had been read; until its handler began it waited for a processor
+	// OnDone, if the handler sets it, is called once nothing of the call is held any more: its
+	// answer has been written, or never will be.
+	OnDone func()
+}
+
+func (c *Call) done() {
+	if c.OnDone != nil {
+		c.OnDone()
+	}
+}
+
+// Handler answers one call; a nil answer means the call is swallowed. Its context ends with
+// the connection.
+type Handler func(ctx context.Context, call *Call) []byte
 
 // Server takes calls at one address.
 type Server struct {
@@ -31,9 +48,10 @@
 
 // task is one call to be answered.
 type task struct {
-	ctx context.Context
-	f   frame
-	out chan<- frame
+	ctx    context.Context
+	id     uint64
+	call   *Call
+	answer func(frame) bool // hands the answer to the connection's writer
 }
 
 // mostIdle bounds the handlers that wait for the next call. A new goroutine's stack
@@ -118,7 +136,8 @@
 		end(net.ErrClosed)
 		return
 	}
-	go writeAll(c, out, ctx.Done(), end)
+	w := &writer{conn: c, out: out, done: ctx.Done(), end: end}
+	go w.run()
 	r := bufio.NewReaderSize(c, readBuffer)
 	for {
 		f, err := readFrame(r, s.p.MaxFrame)
@@ -145,7 +164,7 @@
 			end(net.ErrClosed)
 			return
 		}
-		t := task{ctx, f, out}
+		t := task{ctx, f.id, &Call{Body: f.body, ReadAt: time.Now()}, w.enqueue}
 		select {
 		case s.crew <- t:
 		default:
@@ -181,12 +200,8 @@
 func (s *Server) answer(t task) {
 	defer s.wg.Done()
 	defer func() { <-s.capacity }()
-	a := s.h(t.ctx, t.f.body)
-	if a == nil {
-		return
-	}
-	select {
-	case t.out <- frame{kind: kindAnswer, id: t.f.id, body: a}:
-	case <-t.ctx.Done():
+	body := s.h(t.ctx, t.call)
+	if body == nil || !t.answer(frame{kind: kindAnswer, id: t.id, body: body, written: t.call.done}) {
+		t.call.done()
 	}
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -27,7 +27,7 @@
 		t.Context(),
 		ln,
 		transport.DefaultParams,
-		func(_ context.Context, b []byte) []byte { return b },
+		func(_ context.Context, call *transport.Call) []byte { return call.Body },
 		func(err error) {
 			bad.Add(1)
 			last.Store(code.Of(err))
@@ -155,7 +155,7 @@
 		t.Context(),
 		ln,
 		transport.DefaultParams,
-		func(_ context.Context, b []byte) []byte { return b },
+		func(_ context.Context, call *transport.Call) []byte { return call.Body },
 		func(error) {},
 	)
 	h := transport.NewHub(transport.TCP(transport.DefaultParams), transport.DefaultParams, nil)
@@ -185,7 +185,8 @@
 			t.Fatal(err)
 		}
 		var running atomic.Int64
-		s := transport.Serve(t.Context(), ln, transport.DefaultParams, func(_ context.Context, b []byte) []byte {
+		s := transport.Serve(t.Context(), ln, transport.DefaultParams, func(_ context.Context, call *transport.Call) []byte {
+			b := call.Body
 			running.Add(1)
 			defer running.Add(-1)
 			time.Sleep(time.Second)
