--- a/cmd/damsontiller-data/platform.go
+++ b/cmd/damsontiller-data/platform.go
@@ -34,6 +34,7 @@
 		return platformEdge(p, s)
 	case "store":
 		return runStore(p, func(ctx context.Context, st *store.Store) {
+			st.KeepOperations(s.OperationRetention())
 			startup.Reseed(ctx, s, st.Node, signals.Reloads())
 		})
 	}
--- a/internal/dataplane/edge/proxy.go
+++ b/internal/dataplane/edge/proxy.go
@@ -55,6 +55,7 @@
 			Headers:   dialect,
 			Log:       e.Log.Named("proxy"),
 			Policies: []proxy.Policy{
+				proxy.NewOperations(params.Operations, e.stores, e.Lease.Members, e.Params.Self, dialect, e.background),
 				proxy.NewTurns(params.Turns, e.stores),
 				proxy.NewBudgets(params.Budgets, e.stores, e.background),
 			},
--- a/internal/dataplane/request/proxy/budget.go
+++ b/internal/dataplane/request/proxy/budget.go
@@ -23,7 +23,7 @@
 	params     BudgetParams
 	background job.Background
 	mu         sync.Mutex
-	pending    map[string]map[string]settlement // not yet written, by program and try
+	pending    map[string]map[string]settlement // not yet written, by key of a program's budget and try
 	locks      [64]chan struct{}                // changes of one program from this node take turns; each holds a token
 }
 
@@ -68,10 +68,12 @@
 	return v, nil
 }
 
+func budgetKey(j *Job) string { return keys.ProxyBudget(j.TenantName(), j.Program) }
+
 // change makes f's change of a program's budget together with the settlements due.
-func (p *Budgets) change(ctx context.Context, program string, f func(*budget.Value) error) (budget.Value, error) {
+func (p *Budgets) change(ctx context.Context, key string, f func(*budget.Value) error) (budget.Value, error) {
 	// Nobody waits for his turn longer than for the change itself.
-	l := p.locks[weigh(program, "")%uint64(len(p.locks))]
+	l := p.locks[weigh(key, "")%uint64(len(p.locks))]
 	if !loop.Until(ctx, l) {
 		return budget.Value{}, code.New(
 			code.StoresUnreachable,
@@ -82,11 +84,11 @@
 	defer func() { l <- struct{}{} }()
 	p.mu.Lock()
 	due := map[string]settlement{}
-	for k, n := range p.pending[program] {
+	for k, n := range p.pending[key] {
 		due[k] = n
 	}
 	p.mu.Unlock()
-	st, err := p.stores.Change(ctx, keys.ProxyBudget(program), func(st register.State) ([]byte, bool, error) {
+	st, err := p.stores.Change(ctx, key, func(st register.State) ([]byte, bool, error) {
 		v, err := readBudget(st)
 		if err != nil {
 			return nil, false, err
@@ -109,10 +111,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id := range due {
-		delete(p.pending[program], id)
+		delete(p.pending[key], id)
 	}
-	if len(p.pending[program]) == 0 {
-		delete(p.pending, program)
+	if len(p.pending[key]) == 0 {
+		delete(p.pending, key)
 	}
 	return readBudget(st)
 }
@@ -120,7 +122,7 @@
 // Reserve sets the most that a job may put out aside, or says that the budget
 // does not hold it.
 func (p *Budgets) Reserve(ctx context.Context, j *Job) error {
-	v, err := p.change(ctx, j.Program, func(v *budget.Value) error {
+	v, err := p.change(ctx, budgetKey(j), func(v *budget.Value) error {
 		if _, ok := v.Open[j.Attempt]; ok {
 			return nil
 		}
@@ -141,14 +143,14 @@
 	return err
 }
 
-// Commit writes down what a turn put out, with the program's next turn or soon.
-func (p *Budgets) Commit(program, try string, spent int64, home string) {
+// Commit writes down, under the key of a budget, what a turn put out, with the program's next turn or soon.
+func (p *Budgets) Commit(key, try string, spent int64, home string) {
 	p.mu.Lock()
-	first := p.pending[program] == nil
+	first := p.pending[key] == nil
 	if first {
-		p.pending[program] = map[string]settlement{}
+		p.pending[key] = map[string]settlement{}
 	}
-	p.pending[program][try] = settlement{spent, home}
+	p.pending[key][try] = settlement{spent, home}
 	p.mu.Unlock()
 	if !first {
 		return
@@ -160,13 +162,13 @@
 				loop.Wait(p.background.Ctx, p.params.CommitDelay)
 			}
 			p.mu.Lock()
-			n := len(p.pending[program])
+			n := len(p.pending[key])
 			p.mu.Unlock()
 			if n == 0 {
 				return
 			}
 			ctx, stop := context.WithTimeout(context.WithoutCancel(p.background.Ctx), p.params.WriteTimeout)
-			_, err := p.change(ctx, program, func(*budget.Value) error { return nil })
+			_, err := p.change(ctx, key, func(*budget.Value) error { return nil })
 			stop()
 			if err != nil && !loop.Wait(p.background.Ctx, 250*time.Millisecond) {
 				return
@@ -190,7 +192,7 @@
 	stop()
 	if err != nil && unsure {
 		// Perhaps it is reserved; nothing was sent, so it is handed back.
-		p.Commit(j.Program, j.Attempt, 0, "")
+		p.Commit(budgetKey(j), j.Attempt, 0, "")
 	}
 	switch {
 	case code.Of(err) == code.OutcomeUnknown:
@@ -203,6 +205,6 @@
 	}
 	a := next(j, w)
 	// What the caller was handed, whatever became of the rest.
-	p.Commit(j.Program, j.Attempt, int64(w.Events())*j.perEvent(), w.runner)
+	p.Commit(budgetKey(j), j.Attempt, int64(w.Events())*j.perEvent(), w.runner)
 	return a
 }
--- a/internal/dataplane/request/proxy/conversation.go
+++ b/internal/dataplane/request/proxy/conversation.go
@@ -53,16 +53,17 @@
 // turn is one kept turn as this node remembers it; it is never changed.
 type turn struct {
 	id    string
+	key   string    // of its blob; names its tenant as well
 	until time.Time // kept at least so long
 	*wire.Turn
 }
 
 func (t *turn) bytes() int { return len(t.In) + len(t.Out) + 32*len(t.Before) + 200 }
 
-func (c *Turns) get(id string) *turn {
+func (c *Turns) get(key string) *turn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e := c.cached[id]
+	e := c.cached[key]
 	if e == nil {
 		return nil
 	}
@@ -73,32 +74,33 @@
 func (c *Turns) remember(t *turn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e := c.cached[t.id]; e != nil {
+	if e := c.cached[t.key]; e != nil {
 		c.size -= e.Value.(*turn).bytes()
 		c.leastRecent.Remove(e)
 	}
-	c.cached[t.id] = c.leastRecent.PushFront(t)
+	c.cached[t.key] = c.leastRecent.PushFront(t)
 	for c.size += t.bytes(); c.size > c.params.CacheBytes && c.leastRecent.Len() > 1; {
 		e := c.leastRecent.Back()
 		old := e.Value.(*turn)
 		c.leastRecent.Remove(e)
-		delete(c.cached, old.id)
+		delete(c.cached, old.key)
 		c.size -= old.bytes()
 	}
 }
 
-func (c *Turns) fetch(ctx context.Context, id string) (*turn, error) {
+func (c *Turns) fetch(ctx context.Context, tenant, id string) (*turn, error) {
+	key := keys.ProxyTurn(tenant, id)
 	// A node may remember a turn past its time: only the stores can say that it
 	// is over, and until then it is still good.
-	if t := c.get(id); t != nil && time.Now().Before(t.until) {
+	if t := c.get(key); t != nil && time.Now().Before(t.until) {
 		return t, nil
 	}
 	asked := time.Now()
-	b, left, err := c.stores.GetBlobTimeLeft(ctx, keys.Turn(id))
+	b, left, err := c.stores.GetBlobTimeLeft(ctx, key)
 	if err != nil {
 		return nil, err
 	}
-	t := &turn{id: id, until: asked.Add(left), Turn: &wire.Turn{}}
+	t := &turn{id: id, key: key, until: asked.Add(left), Turn: &wire.Turn{}}
 	if err := wire.Decode(b, t.Turn); err != nil {
 		return nil, err
 	}
@@ -108,8 +110,8 @@
 
 // chain fetches the turn that a job goes on from and all before it, oldest
 // first. NoTurn is only said where a majority says so.
-func (c *Turns) chain(ctx context.Context, id string) ([]*turn, error) {
-	head, err := c.fetch(ctx, id)
+func (c *Turns) chain(ctx context.Context, tenant, id string) ([]*turn, error) {
+	head, err := c.fetch(ctx, tenant, id)
 	if err != nil {
 		return nil, err
 	}
@@ -117,13 +119,13 @@
 	out[len(head.Before)] = head
 	errs := make(chan error, len(head.Before))
 	for i, id := range head.Before {
-		if t := c.get(id); t != nil {
+		if t := c.get(keys.ProxyTurn(tenant, id)); t != nil {
 			out[i] = t
 			errs <- nil
 			continue
 		}
 		go func() {
-			t, err := c.fetch(ctx, id)
+			t, err := c.fetch(ctx, tenant, id)
 			out[i] = t
 			errs <- err
 		}()
@@ -142,8 +144,8 @@
 
 // Keep brings a turn to a majority, and renews those before it whose time would
 // be over before its own.
-func (c *Turns) Keep(ctx context.Context, id string, chain []*turn, in, out []byte, keep time.Duration) error {
-	t := &turn{id: id, Turn: &wire.Turn{In: in, Out: out}}
+func (c *Turns) Keep(ctx context.Context, tenant, id string, chain []*turn, in, out []byte, keep time.Duration) error {
+	t := &turn{id: id, key: keys.ProxyTurn(tenant, id), Turn: &wire.Turn{In: in, Out: out}}
 	for _, b := range chain {
 		t.Before = append(t.Before, b.id)
 	}
@@ -154,13 +156,13 @@
 	put := func(t *turn) {
 		b := wire.MustEncode(t.Turn)
 		errs <- retryAtStores(ctx, func() error {
-			return c.stores.PutBlob(ctx, keys.Turn(t.id), b, keep+c.params.ExtraRetention)
+			return c.stores.PutBlob(ctx, t.key, b, keep+c.params.ExtraRetention)
 		})
 	}
 	for _, b := range chain {
 		if b.until.Before(now.Add(keep + 2*c.params.LateWriteTimeout)) {
 			n++
-			copied := &turn{id: b.id, until: now.Add(keep + c.params.ExtraRetention), Turn: b.Turn}
+			copied := &turn{id: b.id, key: b.key, until: now.Add(keep + c.params.ExtraRetention), Turn: b.Turn}
 			go put(copied)
 			renewed = append(renewed, copied)
 		}
@@ -195,7 +197,7 @@
 	if j.Follows != "" {
 		ctx, stop := context.WithTimeout(j, min(c.params.ReadTimeout, j.Left()))
 		err := retryAtStores(ctx, func() (err error) {
-			chain, err = c.chain(ctx, j.Follows)
+			chain, err = c.chain(ctx, j.TenantName(), j.Follows)
 			return err
 		})
 		stop()
@@ -220,7 +222,8 @@
 		max(min(j.Left(), 2*c.params.LateWriteTimeout), c.params.LateWriteTimeout),
 	)
 	defer stop()
-	if err := c.Keep(ctx, j.Attempt, chain, in, w.Text(), time.Duration(j.Path.KeepMs)*time.Millisecond); err != nil {
+	keep := time.Duration(j.Path.KeepMs) * time.Millisecond
+	if err := c.Keep(ctx, j.TenantName(), j.Attempt, chain, in, w.Text(), keep); err != nil {
 		return Answer{Err: err}
 	}
 	return a
--- a/internal/dataplane/request/proxy/handler.go
+++ b/internal/dataplane/request/proxy/handler.go
@@ -39,6 +39,7 @@
 	ListMaxAge  time.Duration // how old a reading of the list may be to prove a runner warm
 	Turns       TurnParams
 	Budgets     BudgetParams
+	Operations  OperationParams
 	Pool        PoolParams
 }
 
@@ -54,6 +55,7 @@
 	ListMaxAge:  2 * time.Second,
 	Turns:       DefaultTurns,
 	Budgets:     DefaultBudgets,
+	Operations:  DefaultOperations,
 	Pool:        DefaultPool,
 }
 
@@ -194,6 +196,9 @@
 	if j.Path == nil {
 		return Answer{Err: code.New(code.NoRoute, "no route for %s%s", j.Req.Host, rawPath(j.Req))}
 	}
+	if err := handler.authenticate(j, x); err != nil {
+		return Answer{Err: err}
+	}
 	if err := handler.parts.Headers.ReadRequest(j.Req, j); err != nil {
 		return Answer{Err: err}
 	}
@@ -285,7 +290,11 @@
 // one program, so that what a runner holds of it stays of use.
 func (j *Job) draw() uint64 {
 	k := j.Program
-	if k == "" {
+	switch {
+	case j.Path.Kind == spec.Keyed && j.OperationKey != "":
+		// A repeat goes where the first went.
+		k = j.OperationKey
+	case k == "":
 		k = j.Attempt
 	}
 	return weigh(k, j.Path.Name)
--- a/internal/dataplane/request/proxy/job.go
+++ b/internal/dataplane/request/proxy/job.go
@@ -27,10 +27,16 @@
 // Job is one try of a caller.
 type Job struct {
 	context.Context
-	Attempt     string // its caller's name of this very try
-	Program     string // empty: it belongs to none
-	Follows     string // the try whose turn it goes on from
-	Subject     string // what it is about, for a runner that saw it lately
+	Attempt string // its caller's name of this very try
+	Program string // empty: it belongs to none
+	Follows string // the try whose turn it goes on from
+	Subject string // what it is about, for a runner that saw it lately
+	// OperationKey names the operation of a keyed request; all that name one run once.
+	OperationKey string
+	// Tenant is on whose behalf it is sent, and Credential the digest by which its caller is
+	// known; nil: callers carry none.
+	Tenant      *spec.Tenant
+	Credential  spec.Credential
 	PromptParts []PromptPart
 	In          int64         // tokens of the prompt
 	Most        int64         // tokens put out at the most
@@ -57,7 +63,23 @@
 
 // Repeatable reports whether the job may run more than once.
 func (j *Job) Repeatable() bool {
-	return j.Path.Kind == spec.Repeatable || j.Path.Kind == spec.Stream && j.Path.Resumable
+	switch j.Path.Kind {
+	case spec.Repeatable:
+		return true
+	case spec.Stream:
+		return j.Path.Resumable
+	case spec.Keyed:
+		return j.deduplicated()
+	}
+	return false
+}
+
+// TenantName is the name of the job's tenant; empty: it has none.
+func (j *Job) TenantName() string {
+	if j.Tenant == nil {
+		return ""
+	}
+	return j.Tenant.Name
 }
 
 // ResponseInfo is what a runner's answer says beside its body.
@@ -76,6 +98,10 @@
 	// WriteRequest writes what goes to a runner beside the caller's own headers: the try's
 	// name, the runner meant, the time left, the precedence (0 first).
 	WriteRequest(h http.Header, j *Job, to *endpoints.Runner, left time.Duration, priority int)
+	// Credential is the credential that a request carries; empty: none.
+	Credential(r *http.Request) string
+	// WriteRepeat makes the head of an answer recorded for another try one to this job.
+	WriteRepeat(h http.Header, j *Job)
 	// WriteResume asks a runner to begin after an event.
 	WriteResume(h http.Header, after string)
 	// ReadResponse reads an answer's head.
--- a/internal/dataplane/request/proxy/pass.go
+++ b/internal/dataplane/request/proxy/pass.go
@@ -14,6 +14,10 @@
 	sent    bool // a byte may have been sent
 	err     error
 	wait    time.Duration // when the caller may come back, of a job that did not run
+	// final: of a job that did not run, no other runner may be sent it either.
+	final bool
+	// underWay: the runners have another request of the job's operation under way.
+	underWay bool
 }
 
 // attempts are those of one job so far.
@@ -58,8 +62,13 @@
 		if x.outcome == retry.Answered {
 			return Answer{Good: x.good}
 		}
+		if x.underWay && j.waitForOperation() {
+			// It may be asked of the same runner again.
+			delete(s.tried, r.ID)
+			continue
+		}
 		s.recordAttempt(x)
-		if !mayResend(j, w, s, x.outcome) {
+		if x.final || x.underWay || !mayResend(j, w, s, x.outcome) {
 			return handler.unserved(j, s, x)
 		}
 	}
--- a/internal/dataplane/request/proxy/proxy_test.go
+++ b/internal/dataplane/request/proxy/proxy_test.go
@@ -417,6 +417,8 @@
 
 func (nothing) ReadRequest(*http.Request, *Job) error                                 { return nil }
 func (nothing) WriteRequest(http.Header, *Job, *endpoints.Runner, time.Duration, int) {}
+func (nothing) Credential(*http.Request) string                                       { return "" }
+func (nothing) WriteRepeat(http.Header, *Job)                                         {}
 func (nothing) WriteResume(http.Header, string)                                       {}
 func (nothing) ReadResponse(*http.Response) ResponseInfo                              { return ResponseInfo{} }
 
--- a/internal/dataplane/request/proxy/response.go
+++ b/internal/dataplane/request/proxy/response.go
@@ -62,6 +62,8 @@
 	resumption resumption
 	resumable  bool
 	callerHas  string
+	// beforeComplete, if set, is called with a complete answer before any of it is forwarded.
+	beforeComplete func(r *http.Response, body []byte)
 }
 
 // Begun reports whether the caller has seen the head.
@@ -227,6 +229,9 @@
 		return err
 	}
 	if len(b) < maxBuffered || r.ContentLength == int64(len(b)) {
+		if response.beforeComplete != nil {
+			response.beforeComplete(r, b)
+		}
 		if r.ContentLength >= 0 || r.Request.Method != http.MethodHead {
 			response.w.Header()["Content-Length"] = []string{itoa(max(r.ContentLength, int64(len(b))))}
 		}
@@ -249,6 +254,19 @@
 	return err
 }
 
+// replay hands on an answer that was recorded.
+func (response *Response) replay(status int, header http.Header, body []byte) error {
+	response.begun = true
+	h := response.w.Header()
+	copyHeaders(h, header)
+	h["Content-Length"] = []string{itoa(int64(len(body)))}
+	response.w.WriteHeader(status)
+	if _, err := response.w.Write(body); err != nil {
+		return errCaller
+	}
+	return nil
+}
+
 // toCaller tells a caller that can't be written to from a runner that broke off.
 type toCaller struct{ w io.Writer }
 
--- a/internal/dataplane/request/proxy/send.go
+++ b/internal/dataplane/request/proxy/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"damsontiller/internal/dataplane/balancing/endpoints"
@@ -124,6 +125,10 @@
 	if x.j.Left() <= 0 || x.j.Err() != nil {
 		return attemptResult{outcome: retry.NotRun, err: code.New(code.DeadlinePassed, "no time is left")}, false
 	}
+	if !x.handler.stillAuthorized(x.j) {
+		err := code.New(code.UnknownKey, "the credential was withdrawn while the request waited")
+		return attemptResult{outcome: retry.NotRun, err: err, final: true}, false
+	}
 	if !x.admitted.StillValid(x.j, x.j.Left()) {
 		wait := x.handler.parts.Cooldowns.KnownWait(cooldownKey(x.r))
 		return attemptResult{
@@ -229,6 +234,10 @@
 		// Somebody else has the address: the runner has departed.
 		load.Avoid(x.r.ID, 10*x.handler.params.Avoid)
 		s.err = code.New(code.NoRunner, "runner %s is no longer at its address", x.r.ID)
+	case a.StatusCode == http.StatusConflict && x.j.deduplicated():
+		// The runners' own table has the operation under way: no word against this one.
+		s.underWay, s.sent, s.wait = true, false, underWayWait
+		s.err = code.New(code.InProgress, "another request of this operation is under way")
 	case x.j.View.Spec.Cooldown.Refusal(a.StatusCode):
 		s.wait = x.handler.parts.Cooldowns.RecordRefusal(x.j, cooldownKey(x.r), cooldown.RetryAfter(a.Header))
 		s.err = code.New(code.RunnerDrop, "runner %s refused with status %d", x.r.ID, a.StatusCode)
--- a/internal/dataplane/store/store.go
+++ b/internal/dataplane/store/store.go
@@ -6,12 +6,14 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"damsontiller/internal/coordination/core"
 	"damsontiller/internal/coordination/lease"
 	"damsontiller/internal/coordination/node"
+	"damsontiller/internal/proto/keys"
 	"damsontiller/internal/proto/register"
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/proto/wire"
@@ -28,6 +30,8 @@
 	cool     *cooldowns
 	repaired atomic.Int64 // keys taken from other stores
 	fills    fills
+	// operationRetention, if set, is how long operations are kept after their last change.
+	operationRetention time.Duration
 }
 
 // New makes a store over its engine.
@@ -71,6 +75,18 @@
 	return s, nil
 }
 
+// KeepOperations sets how long operations of proxied requests are kept after their last
+// change, in place of what the spec says. It is called before Start.
+func (s *Store) KeepOperations(d time.Duration) { s.operationRetention = d }
+
+// retention is how long a register is kept after its last change; 0 is for good.
+func (s *Store) retention(key string) time.Duration {
+	if s.operationRetention > 0 && strings.HasPrefix(key, keys.OperationPrefix) {
+		return s.operationRetention
+	}
+	return s.Cluster.Now().Spec.StateKeep(key)
+}
+
 // RepairEvery is the time between two comparisons with another store.
 const RepairEvery = 3 * time.Second
 
@@ -136,6 +152,9 @@
 		loop.Every(ctx, time.Second, nil, func(context.Context) { s.v.MeasureDisk() })
 	})
 	s.Go(ctx, func(ctx context.Context) { loop.Every(ctx, time.Minute, nil, s.expireBlobs) })
+	s.Go(ctx, func(ctx context.Context) {
+		loop.Every(ctx, expireInterval, nil, func(context.Context) { s.expire() })
+	})
 	s.Go(ctx, func(ctx context.Context) { loop.Every(ctx, RepairEvery, nil, s.repair) })
 	return nil
 }
@@ -162,20 +181,21 @@
 	} else if e+f > 0 {
 		s.Log.Info("turns past their time", "emptied", e, "forgotten", f)
 	}
-	s.expire()
 }
 
+// expireInterval is the time between two sweeps over the registers.
+const expireInterval = 10 * time.Second
+
 // maxExpired bounds what one sweep lets go, so that traffic goes first.
 const maxExpired = 5000
 
 // expire empties registers past their keeping times, and forgets those that have
 // been empty for long.
 func (s *Store) expire() {
-	sp := &s.Cluster.Now().Spec
-	keys, err := s.v.OlderThan(maxExpired, sp.StateKeep)
+	expired, err := s.v.OlderThan(maxExpired, s.retention)
 	n := 0
-	for _, k := range keys {
-		keep := sp.StateKeep(k)
+	for _, k := range expired {
+		keep := s.retention(k)
 		did, ferr := s.acc.Expire(k, func(r *wire.Rec) (past, withValue bool) {
 			if r.AtMs == 0 {
 				// Dated by being written again, as it is.
@@ -185,6 +205,11 @@
 				return false, false
 			}
 			d := s.v.Age(r)
+			if strings.HasPrefix(k, keys.OperationPrefix) {
+				// They are far more than all other registers, and nobody asks for one past
+				// its window: none is remembered as past.
+				return false, d > keep
+			}
 			return d > keep, d > s.v.TombstoneRetention() && (r.Cell.GetPast() || r.Accepted == nil)
 		}, s.v.DeleteRegister)
 		if did {
--- a/internal/kit/proxytest/backend.go
+++ b/internal/kit/proxytest/backend.go
@@ -53,7 +53,39 @@
 )
 
 // Names are the headers that a stand-in speaks.
-type Names struct{ Try, Seal, NotRun, Target string }
+type Names struct{ Try, Seal, NotRun, Target, Operation string }
+
+// OperationTable is what stand-ins that deduplicate share: the operations that ran, or run.
+type OperationTable struct {
+	mu  sync.Mutex
+	ran map[string]*operationRun
+}
+
+type operationRun struct {
+	done bool
+	seal string
+	body string
+}
+
+// begin tells what is known of an operation, and notes it as running where nothing is.
+func (t *OperationTable) begin(operation string) (known operationRun, first bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if run := t.ran[operation]; run != nil {
+		return *run, false
+	}
+	if t.ran == nil {
+		t.ran = map[string]*operationRun{}
+	}
+	t.ran[operation] = &operationRun{}
+	return operationRun{}, true
+}
+
+func (t *OperationTable) end(operation, seal, body string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	*t.ran[operation] = operationRun{done: true, seal: seal, body: body}
+}
 
 // Plan is the faults of the next jobs, in order. Stand-ins that share one meet
 // them in whichever of them a job arrives.
@@ -85,18 +117,20 @@
 // Params shape a stand-in.
 type Params struct {
 	Names
-	Plan   *Plan // nil: one of its own
-	ID     string
-	Addr   string
-	Bytes  int           // of a complete response
-	Events int           // of a stream
-	Before int           // events before fault 10
-	Pace   time.Duration // between events
-	Work   time.Duration // until the first byte
-	Health string        // path of the health answer; empty: it has none
-	Chunks bool          // complete response come in chunks
-	Replay bool          // streams begin at their first event, whatever they are to go on after
-	NoEnd  bool          // answers say nowhere where they end: they end with the connection
+	Plan *Plan // nil: one of its own
+	// Operations, if set, is the table by which it deduplicates.
+	Operations *OperationTable
+	ID         string
+	Addr       string
+	Bytes      int           // of a complete response
+	Events     int           // of a stream
+	Before     int           // events before fault 10
+	Pace       time.Duration // between events
+	Work       time.Duration // until the first byte
+	Health     string        // path of the health answer; empty: it has none
+	Chunks     bool          // complete response come in chunks
+	Replay     bool          // streams begin at their first event, whatever they are to go on after
+	NoEnd      bool          // answers say nowhere where they end: they end with the connection
 	// Streams reports whether a request is answered by events.
 	Streams func(*http.Request) bool
 	// Word is the data of one event of a stream.
@@ -374,6 +408,15 @@
 		return true
 	}
 	seal := Seal(p.ID, try)
+	operation := q.Header.Get(p.Operation)
+	if p.Operations != nil && operation != "" {
+		known, first := p.Operations.begin(operation)
+		if !first {
+			known.answer(c, a, p.Names)
+			return true
+		}
+		defer func() { p.Operations.end(operation, seal, Complete(p.ID, try, p.Bytes)) }()
+	}
 	run := Run{time.Now(), p.ID, try, q.Method, q.RequestURI, q.Host, q.Header, string(body), seal}
 	b.mu.Lock()
 	b.runs = append(b.runs, run)
@@ -403,6 +446,18 @@
 	return on && f != ShutIdle
 }
 
+// answer answers a repeat by what is known of its operation.
+func (run operationRun) answer(w io.Writer, a answer, names Names) {
+	if !run.done {
+		a.status = http.StatusConflict
+		a.head.Set(names.NotRun, "1")
+		a.complete(w, "under way")
+		return
+	}
+	a.head.Set(names.Seal, run.seal)
+	a.complete(w, run.body)
+}
+
 // nextFault is the fault of the next job, planned or lasting, and how many times longer
 // it makes the work.
 func (b *Backend) nextFault() (Fault, float64) {
--- a/internal/kit/proxytest/fleet_test.go
+++ b/internal/kit/proxytest/fleet_test.go
@@ -16,6 +16,7 @@
 	"damsontiller/internal/dataplane/request/proxy"
 	"damsontiller/internal/kit/proxytest"
 	"damsontiller/internal/kit/sim"
+	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/proto/wire"
 	"damsontiller/internal/transport/loop"
 )
@@ -30,6 +31,8 @@
 	rigs map[string]*rig
 	bgs  []job.Background
 	turn proxy.TurnParams
+	// table, if set, changes the table of each ingress.
+	table func(*spec.Table)
 }
 
 func newFleet(t *testing.T, shape func(*proxytest.Params)) *fleet {
@@ -78,7 +81,18 @@
 	t := storeclient.New(e.Peer, e.Cluster, e.Proposer)
 	bg := job.NewBackground(f.ctx)
 	f.bgs = append(f.bgs, bg)
-	r := newRig(f.t, f.bs, proxy.NewTurns(f.turn, t), proxy.NewBudgets(proxy.DefaultBudgets, t, bg))
+	operations := proxy.NewOperations(
+		proxy.DefaultOperations,
+		t,
+		e.Lease.Members,
+		&e.Peer.Self,
+		dialect{},
+		bg,
+	)
+	r := newRig(f.t, f.bs, operations, proxy.NewTurns(f.turn, t), proxy.NewBudgets(proxy.DefaultBudgets, t, bg))
+	if f.table != nil {
+		r.setTable(f.table)
+	}
 	f.rigs[id] = r
 	return r
 }
--- a/internal/kit/proxytest/harness_test.go
+++ b/internal/kit/proxytest/harness_test.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -35,7 +36,7 @@
 
 func TestMain(m *testing.M) { fixed.Main(m, 300) }
 
-var names = proxytest.Names{Try: "X-Test-Try", Seal: "X-Test-Seal", NotRun: "X-Test-Not-Run", Target: "X-Test-Target"}
+var names = proxytest.Names{Try: "X-Test-Try", Seal: "X-Test-Seal", NotRun: "X-Test-Not-Run", Target: "X-Test-Target", Operation: "X-Test-Operation"}
 
 // dialect is the tests' own.
 type dialect struct{}
@@ -49,6 +50,7 @@
 	ms, _ := strconv.Atoi(h.Get("X-Test-Wait"))
 	j.Wait = time.Duration(ms) * time.Millisecond
 	j.Budget, _ = strconv.ParseInt(h.Get("X-Test-Budget"), 10, 64)
+	j.OperationKey = h.Get(names.Operation)
 	j.Most, _ = strconv.ParseInt(h.Get("X-Test-Most"), 10, 64)
 	return nil
 }
@@ -56,9 +58,15 @@
 func (dialect) WriteRequest(h http.Header, j *proxy.Job, to *endpoints.Runner, left time.Duration, _ int) {
 	h.Set(names.Try, j.Attempt)
 	h.Set(names.Target, to.ID)
+	h.Del("X-Test-Credential")
+	h.Set("X-Test-Tenant", j.TenantName())
 	h.Set("X-Test-Wait", strconv.FormatInt(left.Milliseconds(), 10))
 }
 
+func (dialect) Credential(r *http.Request) string { return r.Header.Get("X-Test-Credential") }
+
+func (dialect) WriteRepeat(h http.Header, j *proxy.Job) { h.Set(names.Try, j.Attempt) }
+
 func (dialect) WriteResume(h http.Header, after string) { h.Set("Last-Event-Id", after) }
 
 func (dialect) ReadResponse(r *http.Response) proxy.ResponseInfo {
@@ -77,6 +85,7 @@
 	stream     = "/s/"
 	resumable  = "/t/"
 	kept       = "/k/"
+	keyed      = "/y/"
 )
 
 func streams(uri string) bool {
@@ -96,7 +105,7 @@
 		},
 		Limits: spec.Limits{BodyBytes: 100 << 10},
 	}
-	for _, k := range []string{repeatable, once, stream, resumable, kept} {
+	for _, k := range []string{repeatable, once, stream, resumable, kept, keyed} {
 		p := spec.Path{
 			Name:            k,
 			Authority:       "host.test",
@@ -114,6 +123,8 @@
 			p.Kind = spec.Once
 		case resumable:
 			p.Resumable = true
+		case keyed:
+			p.Kind = spec.Keyed
 		case kept:
 			p.Kept, p.KeepMs = true, 60_000
 		}
@@ -223,6 +234,16 @@
 	return r
 }
 
+// setTable puts a changed table in force.
+func (r *rig) setTable(change func(*spec.Table)) {
+	view := *r.view
+	view.Version++
+	view.Table.Paths = slices.Clone(view.Table.Paths)
+	view.Table.Services = slices.Clone(view.Table.Services)
+	change(&view.Table)
+	r.view = &view
+}
+
 // setEndpoints puts another list in force.
 func (r *rig) setEndpoints(all []endpoints.Runner) {
 	r.endpoints.Replace(endpoints.NewList(time.Now(), all))
--- a/internal/kit/sim/cooldown_test.go
+++ b/internal/kit/sim/cooldown_test.go
@@ -43,7 +43,9 @@
 	h.Set("Edge", p.edge)
 	h.Set("To", to.ID)
 }
-func (plain) WriteResume(http.Header, string) {}
+func (plain) Credential(*http.Request) string     { return "" }
+func (plain) WriteRepeat(http.Header, *proxy.Job) {}
+func (plain) WriteResume(http.Header, string)     {}
 func (plain) ReadResponse(r *http.Response) proxy.ResponseInfo {
 	return proxy.ResponseInfo{
 		Attempt: r.Header.Get("Try"),
--- a/internal/platform/control/table.go
+++ b/internal/platform/control/table.go
@@ -2,17 +2,19 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"math"
 	"strconv"
 	"strings"
 
 	"github.com/mailru/easyjson"
+	"github.com/mailru/easyjson/jlexer"
 
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/transport/code"
 )
 
-var kinds = map[string]string{"idempotent": spec.Repeatable, "non_idempotent": spec.Once, "streaming": spec.Stream}
+var kinds = map[string]string{"idempotent": spec.Repeatable, "non_idempotent": spec.Once, "streaming": spec.Stream, "keyed": spec.Keyed}
 
 // weightUnit makes integer weights of shares, which may be fractions.
 const weightUnit = 1e6
@@ -22,7 +24,14 @@
 	if !json.Valid(b) {
 		return code.New(code.BadJSON, "the body is not JSON")
 	}
-	if err := easyjson.Unmarshal(b, into); err != nil {
+	err := easyjson.Unmarshal(b, into)
+	var syntax *jlexer.LexerError
+	if errors.As(err, &syntax) {
+		// Without the piece of the body that the library's own text shows: it may hold
+		// credentials.
+		return code.New(code.BadJSON, "%s, near byte %d of an item", syntax.Reason, syntax.Offset)
+	}
+	if err != nil {
 		return code.New(code.BadJSON, "%w", err)
 	}
 	return nil
@@ -45,6 +54,9 @@
 	if t.Services, err = items(w.Services, service); err != nil {
 		return t, err
 	}
+	if t.Tenants, err = items(w.Tenants, tenant); err != nil {
+		return t, err
+	}
 	if len(w.Limits) > 0 {
 		t.Limits, err = limits(w.Limits)
 	}
@@ -60,12 +72,14 @@
 	if w.Revision == nil {
 		return 0, nil, code.New(code.BadSpec, "revision is missing")
 	}
-	paths, err := items(w.Put.Routes, path)
-	if err != nil {
+	var put spec.Items
+	if put.Paths, err = items(w.Put.Routes, path); err != nil {
 		return 0, nil, err
 	}
-	services, err := items(w.Put.Services, service)
-	if err != nil {
+	if put.Services, err = items(w.Put.Services, service); err != nil {
+		return 0, nil, err
+	}
+	if put.Tenants, err = items(w.Put.Tenants, tenant); err != nil {
 		return 0, nil, err
 	}
 	var lim *spec.Limits
@@ -77,7 +91,7 @@
 		lim = &l
 	}
 	return *w.Revision, func(t spec.Table) spec.Table {
-		t = t.With(paths, services, w.Drop.Routes, w.Drop.Services)
+		t = t.With(put, spec.Names(w.Drop))
 		if lim != nil {
 			t.Limits = *lim
 		}
@@ -118,6 +132,7 @@
 		KeepMs:    whole(r.KeepS * 1000),
 		Affine:    r.Affine,
 		Resumable: r.Resumable,
+		Keyless:   r.Keyless,
 		Origin:    json.RawMessage(b),
 	}
 	if p.Kind == "" {
@@ -143,7 +158,9 @@
 		MaxConns:   int(whole(r.MaxConns)),
 		WarmupMs:   whole(r.WarmupSeconds * 1000),
 		WarmupRate: r.WarmupRate,
-		Origin:     json.RawMessage(b),
+
+		Deduplicates: r.Deduplicates,
+		Origin:       json.RawMessage(b),
 	}
 	if e := r.Engine; e != nil {
 		s.Engine = &spec.Engine{
@@ -155,6 +172,25 @@
 	return s, nil
 }
 
+func tenant(b []byte) (spec.Tenant, error) {
+	var r tenantItem
+	if err := decode(b, &r); err != nil {
+		return spec.Tenant{}, err
+	}
+	n := spec.Tenant{
+		Name:        r.Name,
+		Credentials: r.Credentials,
+		RatePerS:    r.RatePerS,
+		Burst:       r.Burst,
+		Origin:      json.RawMessage(b),
+	}
+	if r.Rank != nil {
+		rank := int(whole(*r.Rank))
+		n.Rank = &rank
+	}
+	return n, nil
+}
+
 func limits(b []byte) (spec.Limits, error) {
 	var r limitsItem
 	if err := decode(b, &r); err != nil {
@@ -191,6 +227,9 @@
 	for i := range t.Services {
 		w.Services = append(w.Services, easyjson.RawMessage(t.Services[i].Origin))
 	}
+	for i := range t.Tenants {
+		w.Tenants = append(w.Tenants, easyjson.RawMessage(t.Tenants[i].Origin))
+	}
 	return w.MarshalJSON()
 }
 
--- a/internal/platform/control/wire.go
+++ b/internal/platform/control/wire.go
@@ -12,6 +12,7 @@
 	Routes   []easyjson.RawMessage `json:"route-table"`
 	Services []easyjson.RawMessage `json:"service-table"`
 	Limits   easyjson.RawMessage   `json:"limits,omitempty"`
+	Tenants  []easyjson.RawMessage `json:"subscribers,omitempty"`
 }
 
 // patchTable is a change of named items.
@@ -27,11 +28,13 @@
 	Routes   []easyjson.RawMessage `json:"route-table"`
 	Services []easyjson.RawMessage `json:"service-table"`
 	Limits   easyjson.RawMessage   `json:"limits"`
+	Tenants  []easyjson.RawMessage `json:"subscribers"`
 }
 
 type dropItems struct {
-	Routes   []string `json:"route-table"`
+	Paths    []string `json:"route-table"`
 	Services []string `json:"service-table"`
+	Tenants  []string `json:"subscribers"`
 }
 
 // routeItem is a route; figures may be integers or fractions.
@@ -53,6 +56,7 @@
 	KeepS           float64     `json:"retention-s"`
 	Affine          bool        `json:"affinity"`
 	Resumable       bool        `json:"resumable"`
+	Keyless         bool        `json:"keyless"`
 }
 
 type splitItem struct {
@@ -68,6 +72,18 @@
 	WarmupSeconds float64     `json:"cold-period-s"`
 	WarmupRate    float64     `json:"cold-rate-s"`
 	Engine        *engineItem `json:"engine"`
+	Deduplicates  bool        `json:"dedup-capable"`
+}
+
+// tenantItem is a tenant with its credentials.
+//
+//easyjson:json
+type tenantItem struct {
+	Name        string   `json:"name"`
+	Credentials []string `json:"credentials"`
+	Rank        *float64 `json:"precedence"`
+	RatePerS    float64  `json:"rate-per-s"`
+	Burst       float64  `json:"burst-size"`
 }
 
 type engineItem struct {
--- a/internal/platform/control/wire_easyjson.go
+++ b/internal/platform/control/wire_easyjson.go
@@ -17,7 +17,160 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonF4688553DecodeDamsontillerInternalPlatformControl(in *jlexer.Lexer, out *serviceItem) {
+func easyjsonF4688553DecodeDamsontillerInternalPlatformControl(in *jlexer.Lexer, out *tenantItem) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "name":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Name = string(in.String())
+			}
+		case "credentials":
+			if in.IsNull() {
+				in.Skip()
+				out.Credentials = nil
+			} else {
+				in.Delim('[')
+				if out.Credentials == nil {
+					if !in.IsDelim(']') {
+						out.Credentials = make([]string, 0, 4)
+					} else {
+						out.Credentials = []string{}
+					}
+				} else {
+					out.Credentials = (out.Credentials)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v1 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v1 = string(in.String())
+					}
+					out.Credentials = append(out.Credentials, v1)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "precedence":
+			if in.IsNull() {
+				in.Skip()
+				out.Rank = nil
+			} else {
+				if out.Rank == nil {
+					out.Rank = new(float64)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					*out.Rank = float64(in.Float64())
+				}
+			}
+		case "rate-per-s":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.RatePerS = float64(in.Float64())
+			}
+		case "burst-size":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Burst = float64(in.Float64())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonF4688553EncodeDamsontillerInternalPlatformControl(out *jwriter.Writer, in tenantItem) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"name\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Name))
+	}
+	{
+		const prefix string = ",\"credentials\":"
+		out.RawString(prefix)
+		if in.Credentials == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v2, v3 := range in.Credentials {
+				if v2 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v3))
+			}
+			out.RawByte(']')
+		}
+	}
+	{
+		const prefix string = ",\"precedence\":"
+		out.RawString(prefix)
+		if in.Rank == nil {
+			out.RawString("null")
+		} else {
+			out.Float64(float64(*in.Rank))
+		}
+	}
+	{
+		const prefix string = ",\"rate-per-s\":"
+		out.RawString(prefix)
+		out.Float64(float64(in.RatePerS))
+	}
+	{
+		const prefix string = ",\"burst-size\":"
+		out.RawString(prefix)
+		out.Float64(float64(in.Burst))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v tenantItem) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v tenantItem) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *tenantItem) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *tenantItem) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl(l, v)
+}
+func easyjsonF4688553DecodeDamsontillerInternalPlatformControl1(in *jlexer.Lexer, out *serviceItem) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -69,7 +222,13 @@
 				if out.Engine == nil {
 					out.Engine = new(engineItem)
 				}
-				easyjsonF4688553DecodeDamsontillerInternalPlatformControl1(in, out.Engine)
+				easyjsonF4688553DecodeDamsontillerInternalPlatformControl2(in, out.Engine)
+			}
+		case "dedup-capable":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Deduplicates = bool(in.Bool())
 			}
 		default:
 			in.SkipRecursive()
@@ -81,7 +240,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeDamsontillerInternalPlatformControl(out *jwriter.Writer, in serviceItem) {
+func easyjsonF4688553EncodeDamsontillerInternalPlatformControl1(out *jwriter.Writer, in serviceItem) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -116,36 +275,41 @@
 		if in.Engine == nil {
 			out.RawString("null")
 		} else {
-			easyjsonF4688553EncodeDamsontillerInternalPlatformControl1(out, *in.Engine)
+			easyjsonF4688553EncodeDamsontillerInternalPlatformControl2(out, *in.Engine)
 		}
 	}
+	{
+		const prefix string = ",\"dedup-capable\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Deduplicates))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v serviceItem) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF4688553EncodeDamsontillerInternalPlatformControl(&w, v)
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl1(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v serviceItem) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF4688553EncodeDamsontillerInternalPlatformControl(w, v)
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl1(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *serviceItem) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF4688553DecodeDamsontillerInternalPlatformControl(&r, v)
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl1(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *serviceItem) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF4688553DecodeDamsontillerInternalPlatformControl(l, v)
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl1(l, v)
 }
-func easyjsonF4688553DecodeDamsontillerInternalPlatformControl1(in *jlexer.Lexer, out *engineItem) {
+func easyjsonF4688553DecodeDamsontillerInternalPlatformControl2(in *jlexer.Lexer, out *engineItem) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -187,7 +351,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeDamsontillerInternalPlatformControl1(out *jwriter.Writer, in engineItem) {
+func easyjsonF4688553EncodeDamsontillerInternalPlatformControl2(out *jwriter.Writer, in engineItem) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -208,7 +372,7 @@
 	}
 	out.RawByte('}')
 }
-func easyjsonF4688553DecodeDamsontillerInternalPlatformControl2(in *jlexer.Lexer, out *routeItem) {
+func easyjsonF4688553DecodeDamsontillerInternalPlatformControl3(in *jlexer.Lexer, out *routeItem) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -292,9 +456,9 @@
 					out.Split = (out.Split)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v1 splitItem
-					easyjsonF4688553DecodeDamsontillerInternalPlatformControl3(in, &v1)
-					out.Split = append(out.Split, v1)
+					var v4 splitItem
+					easyjsonF4688553DecodeDamsontillerInternalPlatformControl4(in, &v4)
+					out.Split = append(out.Split, v4)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -329,6 +493,12 @@
 			} else {
 				out.Resumable = bool(in.Bool())
 			}
+		case "keyless":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Keyless = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -339,7 +509,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeDamsontillerInternalPlatformControl2(out *jwriter.Writer, in routeItem) {
+func easyjsonF4688553EncodeDamsontillerInternalPlatformControl3(out *jwriter.Writer, in routeItem) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -395,11 +565,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v2, v3 := range in.Split {
-				if v2 > 0 {
+			for v5, v6 := range in.Split {
+				if v5 > 0 {
 					out.RawByte(',')
 				}
-				easyjsonF4688553EncodeDamsontillerInternalPlatformControl3(out, v3)
+				easyjsonF4688553EncodeDamsontillerInternalPlatformControl4(out, v6)
 			}
 			out.RawByte(']')
 		}
@@ -429,33 +599,38 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Resumable))
 	}
+	{
+		const prefix string = ",\"keyless\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Keyless))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v routeItem) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF4688553EncodeDamsontillerInternalPlatformControl2(&w, v)
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v routeItem) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF4688553EncodeDamsontillerInternalPlatformControl2(w, v)
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *routeItem) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF4688553DecodeDamsontillerInternalPlatformControl2(&r, v)
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *routeItem) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF4688553DecodeDamsontillerInternalPlatformControl2(l, v)
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl3(l, v)
 }
-func easyjsonF4688553DecodeDamsontillerInternalPlatformControl3(in *jlexer.Lexer, out *splitItem) {
+func easyjsonF4688553DecodeDamsontillerInternalPlatformControl4(in *jlexer.Lexer, out *splitItem) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -491,7 +666,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeDamsontillerInternalPlatformControl3(out *jwriter.Writer, in splitItem) {
+func easyjsonF4688553EncodeDamsontillerInternalPlatformControl4(out *jwriter.Writer, in splitItem) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -507,7 +682,7 @@
 	}
 	out.RawByte('}')
 }
-func easyjsonF4688553DecodeDamsontillerInternalPlatformControl4(in *jlexer.Lexer, out *patchTable) {
+func easyjsonF4688553DecodeDamsontillerInternalPlatformControl5(in *jlexer.Lexer, out *patchTable) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -536,9 +711,9 @@
 				}
 			}
 		case "upsert":
-			easyjsonF4688553DecodeDamsontillerInternalPlatformControl5(in, &out.Put)
+			easyjsonF4688553DecodeDamsontillerInternalPlatformControl6(in, &out.Put)
 		case "remove":
-			easyjsonF4688553DecodeDamsontillerInternalPlatformControl6(in, &out.Drop)
+			easyjsonF4688553DecodeDamsontillerInternalPlatformControl7(in, &out.Drop)
 		default:
 			in.SkipRecursive()
 		}
@@ -549,7 +724,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeDamsontillerInternalPlatformControl4(out *jwriter.Writer, in patchTable) {
+func easyjsonF4688553EncodeDamsontillerInternalPlatformControl5(out *jwriter.Writer, in patchTable) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -565,12 +740,12 @@
 	{
 		const prefix string = ",\"upsert\":"
 		out.RawString(prefix)
-		easyjsonF4688553EncodeDamsontillerInternalPlatformControl5(out, in.Put)
+		easyjsonF4688553EncodeDamsontillerInternalPlatformControl6(out, in.Put)
 	}
 	{
 		const prefix string = ",\"remove\":"
 		out.RawString(prefix)
-		easyjsonF4688553EncodeDamsontillerInternalPlatformControl6(out, in.Drop)
+		easyjsonF4688553EncodeDamsontillerInternalPlatformControl7(out, in.Drop)
 	}
 	out.RawByte('}')
 }
@@ -578,27 +753,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v patchTable) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF4688553EncodeDamsontillerInternalPlatformControl4(&w, v)
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl5(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v patchTable) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF4688553EncodeDamsontillerInternalPlatformControl4(w, v)
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl5(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *patchTable) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF4688553DecodeDamsontillerInternalPlatformControl4(&r, v)
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl5(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *patchTable) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF4688553DecodeDamsontillerInternalPlatformControl4(l, v)
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl5(l, v)
 }
-func easyjsonF4688553DecodeDamsontillerInternalPlatformControl6(in *jlexer.Lexer, out *dropItems) {
+func easyjsonF4688553DecodeDamsontillerInternalPlatformControl7(in *jlexer.Lexer, out *dropItems) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -615,26 +790,26 @@
 		case "route-table":
 			if in.IsNull() {
 				in.Skip()
-				out.Routes = nil
+				out.Paths = nil
 			} else {
 				in.Delim('[')
-				if out.Routes == nil {
+				if out.Paths == nil {
 					if !in.IsDelim(']') {
-						out.Routes = make([]string, 0, 4)
+						out.Paths = make([]string, 0, 4)
 					} else {
-						out.Routes = []string{}
+						out.Paths = []string{}
 					}
 				} else {
-					out.Routes = (out.Routes)[:0]
+					out.Paths = (out.Paths)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v4 string
+					var v7 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v4 = string(in.String())
+						v7 = string(in.String())
 					}
-					out.Routes = append(out.Routes, v4)
+					out.Paths = append(out.Paths, v7)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -655,13 +830,40 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v5 string
+					var v8 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v5 = string(in.String())
+						v8 = string(in.String())
 					}
-					out.Services = append(out.Services, v5)
+					out.Services = append(out.Services, v8)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "subscribers":
+			if in.IsNull() {
+				in.Skip()
+				out.Tenants = nil
+			} else {
+				in.Delim('[')
+				if out.Tenants == nil {
+					if !in.IsDelim(']') {
+						out.Tenants = make([]string, 0, 4)
+					} else {
+						out.Tenants = []string{}
+					}
+				} else {
+					out.Tenants = (out.Tenants)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v9 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v9 = string(in.String())
+					}
+					out.Tenants = append(out.Tenants, v9)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -676,22 +878,22 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeDamsontillerInternalPlatformControl6(out *jwriter.Writer, in dropItems) {
+func easyjsonF4688553EncodeDamsontillerInternalPlatformControl7(out *jwriter.Writer, in dropItems) {
 	out.RawByte('{')
 	first := true
 	_ = first
 	{
 		const prefix string = ",\"route-table\":"
 		out.RawString(prefix[1:])
-		if in.Routes == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+		if in.Paths == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v6, v7 := range in.Routes {
-				if v6 > 0 {
+			for v10, v11 := range in.Paths {
+				if v10 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v7))
+				out.String(string(v11))
 			}
 			out.RawByte(']')
 		}
@@ -703,18 +905,34 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v8, v9 := range in.Services {
-				if v8 > 0 {
+			for v12, v13 := range in.Services {
+				if v12 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v13))
+			}
+			out.RawByte(']')
+		}
+	}
+	{
+		const prefix string = ",\"subscribers\":"
+		out.RawString(prefix)
+		if in.Tenants == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v14, v15 := range in.Tenants {
+				if v14 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v9))
+				out.String(string(v15))
 			}
 			out.RawByte(']')
 		}
 	}
 	out.RawByte('}')
 }
-func easyjsonF4688553DecodeDamsontillerInternalPlatformControl5(in *jlexer.Lexer, out *fullItems) {
+func easyjsonF4688553DecodeDamsontillerInternalPlatformControl6(in *jlexer.Lexer, out *fullItems) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -744,13 +962,13 @@
 					out.Routes = (out.Routes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v10 easyjson.RawMessage
+					var v16 easyjson.RawMessage
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v10).UnmarshalEasyJSON(in)
+						(v16).UnmarshalEasyJSON(in)
 					}
-					out.Routes = append(out.Routes, v10)
+					out.Routes = append(out.Routes, v16)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -771,13 +989,13 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v11 easyjson.RawMessage
+					var v17 easyjson.RawMessage
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v11).UnmarshalEasyJSON(in)
+						(v17).UnmarshalEasyJSON(in)
 					}
-					out.Services = append(out.Services, v11)
+					out.Services = append(out.Services, v17)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -788,6 +1006,33 @@
 			} else {
 				(out.Limits).UnmarshalEasyJSON(in)
 			}
+		case "subscribers":
+			if in.IsNull() {
+				in.Skip()
+				out.Tenants = nil
+			} else {
+				in.Delim('[')
+				if out.Tenants == nil {
+					if !in.IsDelim(']') {
+						out.Tenants = make([]easyjson.RawMessage, 0, 2)
+					} else {
+						out.Tenants = []easyjson.RawMessage{}
+					}
+				} else {
+					out.Tenants = (out.Tenants)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v18 easyjson.RawMessage
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v18).UnmarshalEasyJSON(in)
+					}
+					out.Tenants = append(out.Tenants, v18)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -798,7 +1043,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeDamsontillerInternalPlatformControl5(out *jwriter.Writer, in fullItems) {
+func easyjsonF4688553EncodeDamsontillerInternalPlatformControl6(out *jwriter.Writer, in fullItems) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -809,11 +1054,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v12, v13 := range in.Routes {
-				if v12 > 0 {
+			for v19, v20 := range in.Routes {
+				if v19 > 0 {
 					out.RawByte(',')
 				}
-				(v13).MarshalEasyJSON(out)
+				(v20).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -825,11 +1070,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v14, v15 := range in.Services {
-				if v14 > 0 {
+			for v21, v22 := range in.Services {
+				if v21 > 0 {
 					out.RawByte(',')
 				}
-				(v15).MarshalEasyJSON(out)
+				(v22).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -839,9 +1084,25 @@
 		out.RawString(prefix)
 		(in.Limits).MarshalEasyJSON(out)
 	}
+	{
+		const prefix string = ",\"subscribers\":"
+		out.RawString(prefix)
+		if in.Tenants == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v23, v24 := range in.Tenants {
+				if v23 > 0 {
+					out.RawByte(',')
+				}
+				(v24).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
-func easyjsonF4688553DecodeDamsontillerInternalPlatformControl7(in *jlexer.Lexer, out *limitsItem) {
+func easyjsonF4688553DecodeDamsontillerInternalPlatformControl8(in *jlexer.Lexer, out *limitsItem) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -889,7 +1150,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeDamsontillerInternalPlatformControl7(out *jwriter.Writer, in limitsItem) {
+func easyjsonF4688553EncodeDamsontillerInternalPlatformControl8(out *jwriter.Writer, in limitsItem) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -919,27 +1180,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v limitsItem) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF4688553EncodeDamsontillerInternalPlatformControl7(&w, v)
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl8(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v limitsItem) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF4688553EncodeDamsontillerInternalPlatformControl7(w, v)
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl8(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *limitsItem) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF4688553DecodeDamsontillerInternalPlatformControl7(&r, v)
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl8(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *limitsItem) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF4688553DecodeDamsontillerInternalPlatformControl7(l, v)
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl8(l, v)
 }
-func easyjsonF4688553DecodeDamsontillerInternalPlatformControl8(in *jlexer.Lexer, out *fullTable) {
+func easyjsonF4688553DecodeDamsontillerInternalPlatformControl9(in *jlexer.Lexer, out *fullTable) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -983,13 +1244,13 @@
 					out.Routes = (out.Routes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v16 easyjson.RawMessage
+					var v25 easyjson.RawMessage
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v16).UnmarshalEasyJSON(in)
+						(v25).UnmarshalEasyJSON(in)
 					}
-					out.Routes = append(out.Routes, v16)
+					out.Routes = append(out.Routes, v25)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1010,13 +1271,13 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v17 easyjson.RawMessage
+					var v26 easyjson.RawMessage
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v17).UnmarshalEasyJSON(in)
+						(v26).UnmarshalEasyJSON(in)
 					}
-					out.Services = append(out.Services, v17)
+					out.Services = append(out.Services, v26)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1027,6 +1288,33 @@
 			} else {
 				(out.Limits).UnmarshalEasyJSON(in)
 			}
+		case "subscribers":
+			if in.IsNull() {
+				in.Skip()
+				out.Tenants = nil
+			} else {
+				in.Delim('[')
+				if out.Tenants == nil {
+					if !in.IsDelim(']') {
+						out.Tenants = make([]easyjson.RawMessage, 0, 2)
+					} else {
+						out.Tenants = []easyjson.RawMessage{}
+					}
+				} else {
+					out.Tenants = (out.Tenants)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v27 easyjson.RawMessage
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v27).UnmarshalEasyJSON(in)
+					}
+					out.Tenants = append(out.Tenants, v27)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1037,7 +1325,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeDamsontillerInternalPlatformControl8(out *jwriter.Writer, in fullTable) {
+func easyjsonF4688553EncodeDamsontillerInternalPlatformControl9(out *jwriter.Writer, in fullTable) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1057,11 +1345,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v18, v19 := range in.Routes {
-				if v18 > 0 {
+			for v28, v29 := range in.Routes {
+				if v28 > 0 {
 					out.RawByte(',')
 				}
-				(v19).MarshalEasyJSON(out)
+				(v29).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1073,11 +1361,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v20, v21 := range in.Services {
-				if v20 > 0 {
+			for v30, v31 := range in.Services {
+				if v30 > 0 {
 					out.RawByte(',')
 				}
-				(v21).MarshalEasyJSON(out)
+				(v31).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1087,29 +1375,43 @@
 		out.RawString(prefix)
 		(in.Limits).MarshalEasyJSON(out)
 	}
+	if len(in.Tenants) != 0 {
+		const prefix string = ",\"subscribers\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v32, v33 := range in.Tenants {
+				if v32 > 0 {
+					out.RawByte(',')
+				}
+				(v33).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v fullTable) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF4688553EncodeDamsontillerInternalPlatformControl8(&w, v)
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl9(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v fullTable) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF4688553EncodeDamsontillerInternalPlatformControl8(w, v)
+	easyjsonF4688553EncodeDamsontillerInternalPlatformControl9(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *fullTable) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF4688553DecodeDamsontillerInternalPlatformControl8(&r, v)
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl9(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *fullTable) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF4688553DecodeDamsontillerInternalPlatformControl8(l, v)
+	easyjsonF4688553DecodeDamsontillerInternalPlatformControl9(l, v)
 }
--- a/internal/platform/headers/headers.go
+++ b/internal/platform/headers/headers.go
@@ -32,6 +32,9 @@
 	hNotRun             = "X-Damsontiller-Not-Executed"
 	headerColdRemaining = "X-Damsontiller-Cold-Remaining"
 	hLastEvent          = "Last-Event-Id"
+	hCredential         = "X-Api-Key"
+	hTenant             = "X-Damsontiller-Subscriber"
+	hOperation          = "X-Damsontiller-Operation-Key"
 )
 
 // MaxPrecedence is the last rank that a runner knows.
@@ -51,7 +54,7 @@
 	if j.Attempt = h.Get(hAttempt); j.Attempt == "" {
 		return code.New(code.NoHeader, "%s is missing", hAttempt)
 	}
-	for _, k := range []string{hAttempt, hProgram} {
+	for _, k := range []string{hAttempt, hProgram, hOperation} {
 		if len(h.Get(k)) > proxy.MaxName {
 			return code.New(code.BadHeader, "%s: a name over %d bytes", k, proxy.MaxName)
 		}
@@ -63,7 +66,7 @@
 		}
 	}
 	j.Program, j.Follows = h.Get(hProgram), h.Get(hPrevious)
-	j.Subject = h.Get(hSubject)
+	j.Subject, j.OperationKey = h.Get(hSubject), h.Get(hOperation)
 	var err error
 	if j.Wait, err = span(h, hWait); err != nil {
 		return err
@@ -138,12 +141,24 @@
 func (Codec) WriteRequest(h http.Header, j *proxy.Job, to *endpoints.Runner, left time.Duration, precedence int) {
 	h.Set(hAttempt, j.Attempt)
 	h.Set(hTarget, to.ID)
+	// A runner learns whose request it is by our word alone, and never by which credential.
+	h.Del(hCredential)
+	h.Del(hTenant)
+	if j.Tenant != nil {
+		h.Set(hTenant, j.Tenant.Name)
+	}
 	if left > 0 {
 		h.Set(hWait, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	}
 	h.Set(headerPrecedence, strconv.Itoa(min(max(precedence, 0), MaxPrecedence)))
 }
 
+// Credential is the credential that a request carries.
+func (Codec) Credential(r *http.Request) string { return r.Header.Get(hCredential) }
+
+// WriteRepeat makes the head of a recorded answer one to a job.
+func (Codec) WriteRepeat(h http.Header, j *proxy.Job) { h.Set(hAttempt, j.Attempt) }
+
 // WriteResume asks a runner to begin after an event.
 func (Codec) WriteResume(h http.Header, after string) { h.Set(hLastEvent, after) }
 
--- a/internal/platform/params.go
+++ b/internal/platform/params.go
@@ -48,6 +48,13 @@
 		ContactMs float64 `toml:"contact-ms"`
 		GraceS    float64 `toml:"grace-s"`
 		SyncS     float64 `toml:"sync-time-s"`
+		// KeyWindowS is for how long requests of one operation key are one operation.
+		KeyWindowS float64 `toml:"key-window-s"`
+		// QuotaWindowS is the span in which a tenant's requests are counted; QuotaExcess is
+		// how much of its quota, QuotaSlack how many requests may be run beyond it.
+		QuotaWindowS float64 `toml:"quota-window-s"`
+		QuotaExcess  float64 `toml:"quota-excess"`
+		QuotaSlack   float64 `toml:"quota-slack"`
 	} `toml:"timing-bounds"`
 	Platform struct {
 		Address  string  `toml:"address"`
@@ -120,6 +127,12 @@
 		return bad("timing-bounds.grace-s", "%v is not positive, or over a day", p.Bounds.GraceS)
 	case p.Bounds.SyncS == 0 || !within(p.Bounds.SyncS, 0, maxSeconds):
 		return bad("timing-bounds.sync-time-s", "%v is not positive, or over a day", p.Bounds.SyncS)
+	case !within(p.Bounds.KeyWindowS, 0, maxSeconds):
+		return bad("timing-bounds.key-window-s", "%v is not within 0 and a day", p.Bounds.KeyWindowS)
+	case !within(p.Bounds.QuotaWindowS, 0, maxSeconds):
+		return bad("timing-bounds.quota-window-s", "%v is not within 0 and a day", p.Bounds.QuotaWindowS)
+	case !within(p.Bounds.QuotaExcess, 0, maxRate) || !within(p.Bounds.QuotaSlack, 0, maxRate):
+		return bad("timing-bounds", "quota-excess or quota-slack is not within 0 and %v", maxRate)
 	case p.Platform.RatePerS == 0 || !within(p.Platform.RatePerS, 0, maxRate):
 		return bad("platform-api.rate-per-s", "%v is not positive, or over %d", p.Platform.RatePerS, maxRate)
 	}
@@ -198,6 +211,18 @@
 // Contact is how long nothing may happen to a machine that is in touch.
 func (p *Params) Contact() time.Duration { return Ms(p.Bounds.ContactMs) }
 
+// operationMargin is how much longer than its window an operation is kept: its window counts
+// from when its first request was sent, and its retention from its last change.
+const operationMargin = 30 * time.Second
+
+// OperationRetention is how long stores keep an operation; 0: the settings don't say.
+func (p *Params) OperationRetention() time.Duration {
+	if p.Bounds.KeyWindowS == 0 {
+		return 0
+	}
+	return Ms(p.Bounds.KeyWindowS*1000) + operationMargin
+}
+
 // Grace is how long after the stop signal the process may go on.
 func (p *Params) Grace() time.Duration { return Ms(p.Bounds.GraceS * 1000) }
 
--- a/internal/proto/spec/defaults.go
+++ b/internal/proto/spec/defaults.go
@@ -14,7 +14,10 @@
 	return time.Duration(v) * time.Second
 }
 
-const day = 24 * 3600
+const (
+	day  = 24 * 3600
+	hour = 3600
+)
 
 // LongestWait is the longest that a caller may wait or a program may last.
 func (s *Spec) LongestWait() time.Duration { return secs(s.StateKeeping.LongestWaitS, 7*day) }
@@ -29,6 +32,8 @@
 		return secs(s.StateKeeping.BudgetsS, 8*day)
 	case strings.HasPrefix(key, keys.CooldownPrefix):
 		return secs(s.StateKeeping.CooldownsS, day)
+	case strings.HasPrefix(key, keys.OperationPrefix):
+		return secs(s.StateKeeping.OperationsS, hour)
 	}
 	return 0
 }
--- a/internal/proto/spec/table.go
+++ b/internal/proto/spec/table.go
@@ -12,6 +12,9 @@
 	Repeatable = "repeatable" // may run more than once
 	Once       = "once"       // may run once at most for each try of its caller
 	Stream     = "stream"     // answered by events; once, unless it can be resumed
+	// Keyed requests carry the key of an operation: all that carry one key are one
+	// operation, which runs once.
+	Keyed = "keyed"
 )
 
 // Table says where proxied requests go: jobs whose request is passed on as it came and
@@ -24,6 +27,8 @@
 	Paths    []Path    `json:"paths"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	// Tenants are those whose credentials callers carry; with none, nobody is asked for any.
+	Tenants []Tenant `json:"tenants,omitempty"`
 }
 
 // Path is one route of proxied requests, found by authority and longest path prefix.
@@ -43,6 +48,7 @@
 	KeepMs    int64 `json:"keep_ms,omitempty"`
 	Affine    bool  `json:"affine,omitempty"`    // a runner that saw the subject lately is faster
 	Resumable bool  `json:"resumable,omitempty"` // a stream may be taken up after its last event
+	Keyless   bool  `json:"keyless,omitempty"`   // no credential is asked for
 	// Origin is the item as its author wrote it, handed back unread.
 	Origin json.RawMessage `json:"origin,omitempty"`
 }
@@ -61,6 +67,8 @@
 	WarmupMs   int64   `json:"cold_ms,omitempty"`   // how long a fresh runner is slow
 	WarmupRate float64 `json:"cold_rate,omitempty"` // requests a second that a cold runner bears
 	Engine     *Engine `json:"engine,omitempty"`    // set for model runners
+	// Deduplicates: its runners share a table of operation keys, and answer a repeat from it.
+	Deduplicates bool `json:"deduplicates,omitempty"`
 	// Origin is the item as its author wrote it, handed back unread.
 	Origin json.RawMessage `json:"origin,omitempty"`
 }
@@ -124,7 +132,7 @@
 			return bad(f+".prefix", "%s is path %s's already", at, o)
 		}
 		places[at] = p.Name
-		if p.Kind != Repeatable && p.Kind != Once && p.Kind != Stream {
+		if p.Kind != Repeatable && p.Kind != Once && p.Kind != Stream && p.Kind != Keyed {
 			return bad(f+".kind", "%q is not a kind", p.Kind)
 		}
 		if p.GuardMs <= 0 {
@@ -152,6 +160,9 @@
 			return bad(f+".to", "the weights add up to 0")
 		}
 	}
+	if err := checkTenants(t.Tenants); err != nil {
+		return err
+	}
 	for _, n := range []int64{t.Limits.HeaderBytes, t.Limits.BodyBytes, t.Limits.HeaderMs, t.Limits.IdleMs} {
 		if n < 0 {
 			return bad("limits", "a negative figure")
@@ -160,11 +171,22 @@
 	return nil
 }
 
+// Items are named items of a table.
+type Items struct {
+	Paths    []Path
+	Services []Service
+	Tenants  []Tenant
+}
+
+// Names name items of a table.
+type Names struct{ Paths, Services, Tenants []string }
+
 // With is the table after named items were put in or replaced, and others taken
 // out.
-func (t Table) With(paths []Path, services []Service, dropPaths, dropServices []string) Table {
-	t.Paths = merge(t.Paths, paths, dropPaths, func(p Path) string { return p.Name })
-	t.Services = merge(t.Services, services, dropServices, func(s Service) string { return s.Name })
+func (t Table) With(put Items, drop Names) Table {
+	t.Paths = merge(t.Paths, put.Paths, drop.Paths, func(p Path) string { return p.Name })
+	t.Services = merge(t.Services, put.Services, drop.Services, func(s Service) string { return s.Name })
+	t.Tenants = merge(t.Tenants, put.Tenants, drop.Tenants, func(n Tenant) string { return n.Name })
 	return t
 }
 
@@ -198,6 +220,7 @@
 	hosts    map[string]map[string]*Path
 	lens     map[string][]int // lengths of a host's prefixes, longest first
 	services map[string]*Service
+	tenants  tenantIndex
 }
 
 // NewIndex indexes a table that is not changed any more.
@@ -224,6 +247,7 @@
 	for i := range t.Services {
 		x.services[t.Services[i].Name] = &t.Services[i]
 	}
+	x.tenants = newTenantIndex(t.Tenants)
 	return x
 }
 
--- a/internal/proto/spec/table_easyjson.go
+++ b/internal/proto/spec/table_easyjson.go
@@ -85,6 +85,29 @@
 			}
 		case "limits":
 			easyjson63ba4a22DecodeDamsontillerInternalProtoSpec3(in, &out.Limits)
+		case "tenants":
+			if in.IsNull() {
+				in.Skip()
+				out.Tenants = nil
+			} else {
+				in.Delim('[')
+				if out.Tenants == nil {
+					if !in.IsDelim(']') {
+						out.Tenants = make([]Tenant, 0, 0)
+					} else {
+						out.Tenants = []Tenant{}
+					}
+				} else {
+					out.Tenants = (out.Tenants)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v3 Tenant
+					easyjson63ba4a22DecodeDamsontillerInternalProtoSpec4(in, &v3)
+					out.Tenants = append(out.Tenants, v3)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -115,11 +138,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v3, v4 := range in.Paths {
-				if v3 > 0 {
+			for v4, v5 := range in.Paths {
+				if v4 > 0 {
 					out.RawByte(',')
 				}
-				easyjson63ba4a22EncodeDamsontillerInternalProtoSpec1(out, v4)
+				easyjson63ba4a22EncodeDamsontillerInternalProtoSpec1(out, v5)
 			}
 			out.RawByte(']')
 		}
@@ -131,11 +154,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v5, v6 := range in.Services {
-				if v5 > 0 {
+			for v6, v7 := range in.Services {
+				if v6 > 0 {
 					out.RawByte(',')
 				}
-				easyjson63ba4a22EncodeDamsontillerInternalProtoSpec2(out, v6)
+				easyjson63ba4a22EncodeDamsontillerInternalProtoSpec2(out, v7)
 			}
 			out.RawByte(']')
 		}
@@ -145,6 +168,20 @@
 		out.RawString(prefix)
 		easyjson63ba4a22EncodeDamsontillerInternalProtoSpec3(out, in.Limits)
 	}
+	if len(in.Tenants) != 0 {
+		const prefix string = ",\"tenants\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v8, v9 := range in.Tenants {
+				if v8 > 0 {
+					out.RawByte(',')
+				}
+				easyjson63ba4a22EncodeDamsontillerInternalProtoSpec4(out, v9)
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
@@ -171,6 +208,146 @@
 func (v *Table) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson63ba4a22DecodeDamsontillerInternalProtoSpec(l, v)
 }
+func easyjson63ba4a22DecodeDamsontillerInternalProtoSpec4(in *jlexer.Lexer, out *Tenant) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "name":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Name = string(in.String())
+			}
+		case "credentials":
+			if in.IsNull() {
+				in.Skip()
+				out.Credentials = nil
+			} else {
+				in.Delim('[')
+				if out.Credentials == nil {
+					if !in.IsDelim(']') {
+						out.Credentials = make([]string, 0, 4)
+					} else {
+						out.Credentials = []string{}
+					}
+				} else {
+					out.Credentials = (out.Credentials)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v10 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v10 = string(in.String())
+					}
+					out.Credentials = append(out.Credentials, v10)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "rank":
+			if in.IsNull() {
+				in.Skip()
+				out.Rank = nil
+			} else {
+				if out.Rank == nil {
+					out.Rank = new(int)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					*out.Rank = int(in.Int())
+				}
+			}
+		case "rate_per_s":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.RatePerS = float64(in.Float64())
+			}
+		case "burst":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Burst = float64(in.Float64())
+			}
+		case "origin":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				if data := in.Raw(); in.Ok() {
+					in.AddError((out.Origin).UnmarshalJSON(data))
+				}
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson63ba4a22EncodeDamsontillerInternalProtoSpec4(out *jwriter.Writer, in Tenant) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"name\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Name))
+	}
+	if len(in.Credentials) != 0 {
+		const prefix string = ",\"credentials\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v11, v12 := range in.Credentials {
+				if v11 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v12))
+			}
+			out.RawByte(']')
+		}
+	}
+	if in.Rank != nil {
+		const prefix string = ",\"rank\":"
+		out.RawString(prefix)
+		out.Int(int(*in.Rank))
+	}
+	if in.RatePerS != 0 {
+		const prefix string = ",\"rate_per_s\":"
+		out.RawString(prefix)
+		out.Float64(float64(in.RatePerS))
+	}
+	if in.Burst != 0 {
+		const prefix string = ",\"burst\":"
+		out.RawString(prefix)
+		out.Float64(float64(in.Burst))
+	}
+	if len(in.Origin) != 0 {
+		const prefix string = ",\"origin\":"
+		out.RawString(prefix)
+		out.Raw((in.Origin).MarshalJSON())
+	}
+	out.RawByte('}')
+}
 func easyjson63ba4a22DecodeDamsontillerInternalProtoSpec3(in *jlexer.Lexer, out *Limits) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
@@ -335,7 +512,13 @@
 				if out.Engine == nil {
 					out.Engine = new(Engine)
 				}
-				easyjson63ba4a22DecodeDamsontillerInternalProtoSpec4(in, out.Engine)
+				easyjson63ba4a22DecodeDamsontillerInternalProtoSpec5(in, out.Engine)
+			}
+		case "deduplicates":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Deduplicates = bool(in.Bool())
 			}
 		case "origin":
 			if in.IsNull() {
@@ -391,7 +574,12 @@
 	if in.Engine != nil {
 		const prefix string = ",\"engine\":"
 		out.RawString(prefix)
-		easyjson63ba4a22EncodeDamsontillerInternalProtoSpec4(out, *in.Engine)
+		easyjson63ba4a22EncodeDamsontillerInternalProtoSpec5(out, *in.Engine)
+	}
+	if in.Deduplicates {
+		const prefix string = ",\"deduplicates\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Deduplicates))
 	}
 	if len(in.Origin) != 0 {
 		const prefix string = ",\"origin\":"
@@ -400,7 +588,7 @@
 	}
 	out.RawByte('}')
 }
-func easyjson63ba4a22DecodeDamsontillerInternalProtoSpec4(in *jlexer.Lexer, out *Engine) {
+func easyjson63ba4a22DecodeDamsontillerInternalProtoSpec5(in *jlexer.Lexer, out *Engine) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -446,7 +634,7 @@
 		in.Consumed()
 	}
 }
-func easyjson63ba4a22EncodeDamsontillerInternalProtoSpec4(out *jwriter.Writer, in Engine) {
+func easyjson63ba4a22EncodeDamsontillerInternalProtoSpec5(out *jwriter.Writer, in Engine) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -521,9 +709,9 @@
 					out.To = (out.To)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v7 Share
-					easyjson63ba4a22DecodeDamsontillerInternalProtoSpec5(in, &v7)
-					out.To = append(out.To, v7)
+					var v13 Share
+					easyjson63ba4a22DecodeDamsontillerInternalProtoSpec6(in, &v13)
+					out.To = append(out.To, v13)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -582,6 +770,12 @@
 			} else {
 				out.Resumable = bool(in.Bool())
 			}
+		case "keyless":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Keyless = bool(in.Bool())
+			}
 		case "origin":
 			if in.IsNull() {
 				in.Skip()
@@ -635,11 +829,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v8, v9 := range in.To {
-				if v8 > 0 {
+			for v14, v15 := range in.To {
+				if v14 > 0 {
 					out.RawByte(',')
 				}
-				easyjson63ba4a22EncodeDamsontillerInternalProtoSpec5(out, v9)
+				easyjson63ba4a22EncodeDamsontillerInternalProtoSpec6(out, v15)
 			}
 			out.RawByte(']')
 		}
@@ -689,6 +883,11 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Resumable))
 	}
+	if in.Keyless {
+		const prefix string = ",\"keyless\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Keyless))
+	}
 	if len(in.Origin) != 0 {
 		const prefix string = ",\"origin\":"
 		out.RawString(prefix)
@@ -696,7 +895,7 @@
 	}
 	out.RawByte('}')
 }
-func easyjson63ba4a22DecodeDamsontillerInternalProtoSpec5(in *jlexer.Lexer, out *Share) {
+func easyjson63ba4a22DecodeDamsontillerInternalProtoSpec6(in *jlexer.Lexer, out *Share) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -736,7 +935,7 @@
 		in.Consumed()
 	}
 }
-func easyjson63ba4a22EncodeDamsontillerInternalProtoSpec5(out *jwriter.Writer, in Share) {
+func easyjson63ba4a22EncodeDamsontillerInternalProtoSpec6(out *jwriter.Writer, in Share) {
 	out.RawByte('{')
 	first := true
 	_ = first
--- a/internal/proto/spec/table_test.go
+++ b/internal/proto/spec/table_test.go
@@ -173,10 +173,11 @@
 	old := good()
 	was, _ := json.Marshal(old)
 	got := old.With(
-		[]spec.Path{{Name: "get", Prefix: "/new/"}, {Name: "more"}},
-		[]spec.Service{{Name: "third"}, {Name: "api", MaxConns: 5}},
-		[]string{"turn", "nobody"},
-		[]string{"llm"},
+		spec.Items{
+			Paths:    []spec.Path{{Name: "get", Prefix: "/new/"}, {Name: "more"}},
+			Services: []spec.Service{{Name: "third"}, {Name: "api", MaxConns: 5}},
+		},
+		spec.Names{Paths: []string{"turn", "nobody"}, Services: []string{"llm"}},
 	)
 	var names []string
 	for _, p := range got.Paths {
@@ -192,7 +193,7 @@
 		t.Errorf("the old table changed:\n%s\n%s", was, now)
 	}
 	// Taken out and put in by one change: it is in.
-	if got := old.With([]spec.Path{{Name: "turn"}}, nil, []string{"turn"}, nil); len(got.Paths) != 3 {
+	if got := old.With(spec.Items{Paths: []spec.Path{{Name: "turn"}}}, spec.Names{Paths: []string{"turn"}}); len(got.Paths) != 3 {
 		t.Errorf("%d paths", len(got.Paths))
 	}
 }
--- a/internal/proto/spec/types.go
+++ b/internal/proto/spec/types.go
@@ -36,6 +36,7 @@
 	ClaimsS      int64 `json:"claims_s,omitempty"`
 	BudgetsS     int64 `json:"purses_s,omitempty"`
 	CooldownsS   int64 `json:"cooldowns_s,omitempty"`
+	OperationsS  int64 `json:"operations_s,omitempty"`
 }
 
 // Policy is a policy program's text; see docs/policies.md.
--- a/internal/proto/spec/types_easyjson.go
+++ b/internal/proto/spec/types_easyjson.go
@@ -683,6 +683,12 @@
 			} else {
 				out.CooldownsS = int64(in.Int64())
 			}
+		case "operations_s":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.OperationsS = int64(in.Int64())
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -737,6 +743,16 @@
 		}
 		out.Int64(int64(in.CooldownsS))
 	}
+	if in.OperationsS != 0 {
+		const prefix string = ",\"operations_s\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int64(int64(in.OperationsS))
+	}
 	out.RawByte('}')
 }
 func easyjson6601e8cdDecodeDamsontillerInternalProtoSpec7(in *jlexer.Lexer, out *Cooldown) {
--- a/internal/transport/code/code.go
+++ b/internal/transport/code/code.go
@@ -31,6 +31,7 @@
 	BadField     Code = 111
 	BadProgram   Code = 112
 	BodyLost     Code = 113
+	UnknownKey   Code = 114
 
 	BacklogFull       Code = 201
 	DeadlinePassed    Code = 202
@@ -44,6 +45,7 @@
 	FellBack          Code = 211
 	Overtaken         Code = 212
 	TooLong           Code = 213
+	OverQuota         Code = 214
 
 	OutcomeUnknown Code = 301
 	InProgress     Code = 302
@@ -124,6 +126,7 @@
 	{BadField, "bad_field", 400, "no"},
 	{BadProgram, "bad_program", 409, "no"},
 	{BodyLost, "body_lost", 408, "no"},
+	{UnknownKey, "unknown_key", 401, "no"},
 	{BacklogFull, "backlog_full", 503, "no"},
 	{DeadlinePassed, "cutoff_passed", 504, "no"},
 	{Cooling, "cooling", 429, "no"},
@@ -136,6 +139,7 @@
 	{FellBack, "fell_back", 503, "no"},
 	{Overtaken, "overtaken", 503, "no"},
 	{TooLong, "too_long", 503, "no"},
+	{OverQuota, "over_quota", 429, "no"},
 	{OutcomeUnknown, "outcome_unknown", 502, "unknown"},
 	{InProgress, "in_progress", 409, "unknown"},
 	{Incomplete, "not_whole", 502, "unknown"},
