Quotas over all nodes: merged counts, bounded run-ahead

Change: dataplane/quota. Each node counts what it admits, reports it with its load report to one collector and hears what the others have counted; near a limit a node admits its share of half of what is left; the parts of silent, partitioned and restarted nodes are held; programs that have begun go before new ones. Weighing: docs/design.md.

--- a/cmd/damsontiller-data/platform.go
+++ b/cmd/damsontiller-data/platform.go
@@ -51,7 +51,9 @@
 	ep := edge.DefaultParams
 	ep.ProxyOnly = true
 	e := edge.New(ctx, ep, p.Node("edge", "", log))
-	handler := e.NewProxy(edge.DefaultProxy, headers.Codec{})
+	proxied := edge.DefaultProxy
+	proxied.Quota = s.Quota()
+	handler := e.NewProxy(proxied, headers.Codec{})
 	open := startup.Opener(log)
 	front := &platform.Front{
 		Addr:    s.Bind.Front,
--- a/internal/dataplane/balancing/loadreport/loadreport.go
+++ b/internal/dataplane/balancing/loadreport/loadreport.go
@@ -18,6 +18,7 @@
 	"damsontiller/internal/coordination/singleton"
 	"damsontiller/internal/dataplane/balancing/endpoints"
 	"damsontiller/internal/dataplane/balancing/outlier"
+	"damsontiller/internal/dataplane/quota"
 	"damsontiller/internal/dataplane/request/proxy"
 	"damsontiller/internal/proto/wire"
 	"damsontiller/internal/transport/code"
@@ -53,12 +54,17 @@
 	load      *proxy.Load
 	discover  List
 	outliers  *outlier.Detector
+	quotas    *quota.Node
+	merged    *quota.Collector
 
 	mu       sync.Mutex
 	reports  map[string]edgeReport // by edge
 	lastRead time.Time             // when the last own reading was asked for
 	body     []byte                // the endpoint list as it is handed on
 	sum      uint64
+	// limits are the tenants' quotas under the version limitsOf.
+	limits   map[string]quota.Limit
+	limitsOf uint64
 }
 
 type edgeReport struct {
@@ -66,8 +72,8 @@
 	load       []*wire.Busy
 }
 
-// New makes a load report; list may be set until Run.
-func New(p Params, n *node.Node, r *endpoints.Store, l *proxy.Load) *LoadReport {
+// New makes a load report; list may be set until Run. The counts of quotas travel with it.
+func New(p Params, n *node.Node, r *endpoints.Store, l *proxy.Load, q *quota.Node, c *quota.Collector) *LoadReport {
 	report := &LoadReport{
 		params:    p,
 		node:      n,
@@ -75,6 +81,8 @@
 		load:      l,
 		outliers:  outlier.NewDetector(outlier.DefaultParams),
 		reports:   map[string]edgeReport{},
+		quotas:    q,
+		merged:    c,
 	}
 	n.Peer.Handle(&wire.Req_LoadReport{}, report.collect)
 	return report
@@ -96,6 +104,8 @@
 			// This edge is the first that answers: it counts.
 			report.load.UpdateRemote(report.others(m.Id))
 			report.load.Watch.Update(report.judgeOutliers(m.Id, counts))
+			used, at := report.quotas.Report(), time.Now()
+			report.quotas.Merge(used, at, report.collectQuota(m.Id, m.Inc, used))
 			report.refresh(ctx, report.params.ReadInterval)
 			return
 		}
@@ -149,17 +159,18 @@
 	report.mu.Lock()
 	sum := report.sum
 	report.mu.Unlock()
-	asked := time.Now()
+	asked, used := time.Now(), report.quotas.Report()
 	r, err := report.node.Peer.CallFor(
 		ctx,
 		report.params.Timeout,
 		addr,
-		&wire.Req{Op: &wire.Req_LoadReport{LoadReport: &wire.LoadReport{Own: own, Roll: sum}}},
+		&wire.Req{Op: &wire.Req_LoadReport{LoadReport: &wire.LoadReport{Own: own, Roll: sum, Quota: used}}},
 	)
 	if err != nil {
 		return false
 	}
 	a := r.GetLoadReport()
+	report.quotas.Merge(used, asked, a.GetQuota())
 	report.load.UpdateRemote(loadOf(a.GetOthers()))
 	v := outlier.Verdict{Slow: map[string]float64{}}
 	for _, o := range a.GetOutliers() {
@@ -244,6 +255,31 @@
 	return out
 }
 
+// collectQuota merges what a node has counted of quotas.
+func (report *LoadReport) collectQuota(id string, incarnation uint64, used *wire.QuotaReport) *wire.QuotaNews {
+	var fleet quota.Fleet
+	for _, m := range report.node.Lease.Members() {
+		if m.Role == "edge" {
+			fleet = append(fleet, m.Id)
+		}
+	}
+	return report.merged.Collect(id, incarnation, used, fleet, report.limitOf)
+}
+
+// limitOf is the quota of a tenant, by the table in force here.
+func (report *LoadReport) limitOf(tenant string) quota.Limit {
+	view := report.node.Cluster.Now()
+	report.mu.Lock()
+	defer report.mu.Unlock()
+	if report.limitsOf != view.Version {
+		report.limits, report.limitsOf = map[string]quota.Limit{}, view.Version
+		for _, t := range view.Table.Tenants {
+			report.limits[t.Name] = quota.Limit{RatePerS: t.RatePerS, Burst: t.Burst}
+		}
+	}
+	return report.limits[tenant]
+}
+
 // others sums up what all but one have under way, as last received.
 func (report *LoadReport) others(but string) map[string]proxy.InFlight {
 	report.mu.Lock()
@@ -312,6 +348,9 @@
 	for id, b := range o {
 		a.Others = append(a.Others, &wire.Busy{Runner: id, Jobs: int32(b.Requests), Tokens: b.Tokens})
 	}
+	if used := q.GetLoadReport().GetQuota(); used != nil {
+		a.Quota = report.collectQuota(q.Id, q.Inc, used)
+	}
 	report.mu.Lock()
 	defer report.mu.Unlock()
 	if l := report.endpoints.Current(); len(report.body) > 0 {
--- a/internal/dataplane/edge/proxy.go
+++ b/internal/dataplane/edge/proxy.go
@@ -6,6 +6,7 @@
 
 	"damsontiller/internal/dataplane/balancing/endpoints"
 	"damsontiller/internal/dataplane/balancing/loadreport"
+	"damsontiller/internal/dataplane/quota"
 	"damsontiller/internal/dataplane/request/proxy"
 	"damsontiller/internal/transport/code"
 	"damsontiller/internal/transport/loop"
@@ -18,6 +19,7 @@
 	load       *proxy.Load
 	pool       *proxy.Pool
 	loadReport *loadreport.LoadReport
+	quotas     *quota.Node
 	edge       *Edge
 	params     ProxyParams
 }
@@ -26,10 +28,11 @@
 type ProxyParams struct {
 	proxy.Params
 	LoadReport loadreport.Params
+	Quota      quota.Params
 }
 
 // DefaultProxy are the design's.
-var DefaultProxy = ProxyParams{Params: proxy.DefaultParams, LoadReport: loadreport.DefaultParams}
+var DefaultProxy = ProxyParams{Params: proxy.DefaultParams, LoadReport: loadreport.DefaultParams, Quota: quota.DefaultParams}
 
 // NewProxy joins the parts of a proxied request's way, in one fixed order. It is called before
 // Start.
@@ -40,6 +43,7 @@
 		pool:      proxy.NewPool(params.Pool, e.Params.Net.Dial),
 		edge:      e,
 		params:    params,
+		quotas:    quota.NewNode(params.Quota),
 	}
 	r.Handler = proxy.New(
 		params.Params,
@@ -55,13 +59,15 @@
 			Headers:   dialect,
 			Log:       e.Log.Named("proxy"),
 			Policies: []proxy.Policy{
+				proxy.NewQuotas(r.quotas, params.Quota),
 				proxy.NewOperations(params.Operations, e.stores, e.Lease.Members, e.Params.Self, dialect, e.background),
 				proxy.NewTurns(params.Turns, e.stores),
 				proxy.NewBudgets(params.Budgets, e.stores, e.background),
 			},
 		},
 	)
-	r.loadReport = loadreport.New(params.LoadReport, e.Node, r.Endpoints, r.load)
+	merged := quota.NewCollector(params.Quota)
+	r.loadReport = loadreport.New(params.LoadReport, e.Node, r.Endpoints, r.load, r.quotas, merged)
 	return r
 }
 
--- a/internal/dataplane/request/proxy/operation.go
+++ b/internal/dataplane/request/proxy/operation.go
@@ -327,5 +327,5 @@
 	if err := w.replay(reply.Status, header, reply.Body); err != nil {
 		return Answer{Err: code.New(code.OutcomeUnknown, "%w", err)}
 	}
-	return Answer{Good: reply.Status/100 == 2}
+	return Answer{Good: reply.Status/100 == 2, Repeated: true}
 }
--- /dev/null
+++ b/internal/dataplane/request/proxy/quota.go
@@ -0,0 +1,60 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"damsontiller/internal/dataplane/quota"
+	"damsontiller/internal/proto/spec"
+	"damsontiller/internal/transport/code"
+	"damsontiller/internal/transport/loop"
+)
+
+// Quotas keeps each tenant within its quota over all nodes.
+type Quotas struct {
+	node        *quota.Node
+	startupWait time.Duration
+}
+
+// NewQuotas makes the policy; params are those of the node.
+func NewQuotas(node *quota.Node, params quota.Params) *Quotas {
+	return &Quotas{node: node, startupWait: params.StartupWait}
+}
+
+// Do is the policy.
+func (quotas *Quotas) Do(j *Job, w *Response, next Next) Answer {
+	if j.Tenant == nil || j.Tenant.RatePerS <= 0 {
+		return next(j, w)
+	}
+	if !quotas.waitForCounts(j) {
+		return Refuse(code.New(code.NotReady, "this node has not heard yet what others have admitted"), 200*time.Millisecond)
+	}
+	d := quotas.node.Admit(quota.Request{
+		Tenant:  j.Tenant.Name,
+		Limit:   quota.Limit{RatePerS: j.Tenant.RatePerS, Burst: j.Tenant.Burst},
+		Program: j.Program,
+		// Programs begin with a turn that goes on from none.
+		Begun: j.Follows != "" || j.Path.Kind != spec.Stream,
+	})
+	if !d.Admitted {
+		err := code.New(code.OverQuota, "tenant %s has sent all that it may for now", j.Tenant.Name)
+		return Refuse(err, d.RetryAfter)
+	}
+	a := next(j, w)
+	if a.NotRun() || a.Repeated {
+		quotas.node.Cancel(j.Tenant.Name, d)
+	}
+	return a
+}
+
+// waitForCounts waits a moment for a node that has just come up.
+func (quotas *Quotas) waitForCounts(j *Job) bool {
+	select {
+	case <-quotas.node.Heard():
+		return true
+	default:
+	}
+	ctx, stop := context.WithTimeout(j, min(quotas.startupWait, j.Left()/2))
+	defer stop()
+	return loop.Until(ctx, quotas.node.Heard())
+}
--- a/internal/dataplane/request/proxy/response.go
+++ b/internal/dataplane/request/proxy/response.go
@@ -19,6 +19,8 @@
 	Err  error // numbered
 	// Wait is when the caller may come back, of a job that did not run.
 	Wait time.Duration
+	// Repeated: it was recorded for an earlier job, and this one did not run.
+	Repeated bool
 }
 
 // NotRun reports whether the job surely did not run and will not.
--- a/internal/kit/proxytest/outlier_test.go
+++ b/internal/kit/proxytest/outlier_test.go
@@ -12,6 +12,7 @@
 	"damsontiller/internal/dataplane/balancing/endpoints"
 	"damsontiller/internal/dataplane/balancing/loadreport"
 	"damsontiller/internal/dataplane/edge"
+	"damsontiller/internal/dataplane/quota"
 	"damsontiller/internal/kit/proxytest"
 	"damsontiller/internal/kit/sim"
 	"damsontiller/internal/transport/loop"
@@ -49,7 +50,7 @@
 					r,
 				), append(
 					tallies,
-					loadreport.New(loadreport.DefaultParams, x.Node, r.endpoints, r.load),
+					loadreport.New(loadreport.DefaultParams, x.Node, r.endpoints, r.load, quota.NewNode(quota.DefaultParams), quota.NewCollector(quota.DefaultParams)),
 				)
 			}},
 		)
--- a/internal/kit/sim/loadreport_test.go
+++ b/internal/kit/sim/loadreport_test.go
@@ -11,6 +11,7 @@
 	"damsontiller/internal/dataplane/balancing/endpoints"
 	"damsontiller/internal/dataplane/balancing/loadreport"
 	"damsontiller/internal/dataplane/edge"
+	"damsontiller/internal/dataplane/quota"
 	"damsontiller/internal/dataplane/request/proxy"
 	"damsontiller/internal/kit/sim"
 )
@@ -39,7 +40,7 @@
 		s, err := sim.New(
 			sim.Params{Deploy: "../../../deploy/andina", Seed: 3, Edges: 3, Edge: func(id string, e *edge.Edge) {
 				c := &clerk{endpoints: endpoints.New(), load: proxy.NewLoad()}
-				c.t = loadreport.New(loadreport.DefaultParams, e.Node, c.endpoints, c.load)
+				c.t = loadreport.New(loadreport.DefaultParams, e.Node, c.endpoints, c.load, quota.NewNode(quota.DefaultParams), quota.NewCollector(quota.DefaultParams))
 				mu.Lock()
 				cs[id] = c
 				mu.Unlock()
--- a/internal/platform/params.go
+++ b/internal/platform/params.go
@@ -12,6 +12,7 @@
 
 	"github.com/BurntSushi/toml"
 
+	"damsontiller/internal/dataplane/quota"
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/transport/code"
 	"damsontiller/internal/transport/loop"
@@ -211,6 +212,16 @@
 // Contact is how long nothing may happen to a machine that is in touch.
 func (p *Params) Contact() time.Duration { return Ms(p.Bounds.ContactMs) }
 
+// Quota are the bounds of the tenants' quotas; what the settings leave out keeps its default.
+func (p *Params) Quota() quota.Params {
+	out := quota.DefaultParams
+	if p.Bounds.QuotaWindowS > 0 {
+		out.Window = Ms(p.Bounds.QuotaWindowS * 1000)
+		out.Excess, out.Slack = p.Bounds.QuotaExcess, p.Bounds.QuotaSlack
+	}
+	return out
+}
+
 // operationMargin is how much longer than its window an operation is kept: its window counts
 // from when its first request was sent, and its retention from its last change.
 const operationMargin = 30 * time.Second
--- a/internal/proto/wire/golden_test.go
+++ b/internal/proto/wire/golden_test.go
@@ -15,7 +15,7 @@
 const goldenFile = "testdata/frames.golden"
 
 // earlierGoldenFiles are the frames of earlier releases.
-var earlierGoldenFiles = []string{"testdata/frames-7b6c0ec.golden", "testdata/frames-76067e2.golden"}
+var earlierGoldenFiles = []string{"testdata/frames-7b6c0ec.golden", "testdata/frames-76067e2.golden", "testdata/frames-7e83235.golden"}
 
 // TestFrames compares the bytes of each message, with every field filled in, with the
 // golden ones: neighbouring releases understand each other only if no field's number or
