Sight: orders refused for good are logged, edges tell of a missing configuration and of quotas

Cause: a configuration that was refused on each try left no trace in any log, and nodes that waited for one said nothing. Change: cores log each order that they refuse for good, with its reason and without the order's own text; an edge without a configuration says so every 10 s; the edge's status and metrics count proxied requests by code and show what it knows of tenants' quotas. Result: TestRefusedOrderLogged (five wrong orders: logged, no credential shown).

--- a/cmd/damsontiller-control/platform.go
+++ b/cmd/damsontiller-control/platform.go
@@ -36,7 +36,7 @@
 		cp,
 		min(3*time.Second, s.Grace()/2),
 		func(ctx context.Context, e *echo.Echo, c *core.Core, _ *storage.Engine) {
-			(&control.Handler{Core: c, Sets: c}).Routes(e)
+			(&control.Handler{Core: c, Sets: c, Log: c.Log.Named("orders")}).Routes(e)
 			startup.Reseed(ctx, s, c.Node, signals.Reloads())
 		},
 	)
--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -27,6 +27,7 @@
 	"damsontiller/internal/dataplane/programs/budget"
 	"damsontiller/internal/dataplane/programs/conversation"
 	"damsontiller/internal/dataplane/programs/idempotency"
+	"damsontiller/internal/dataplane/quota"
 	"damsontiller/internal/dataplane/request/call"
 	"damsontiller/internal/dataplane/request/job"
 	"damsontiller/internal/dataplane/request/turnapi"
@@ -95,6 +96,8 @@
 	// goroutine's own.
 	lastGrant, firstGrant time.Time
 	stopping              atomic.Bool
+	// proxy, if set, is the part that passes proxied requests.
+	proxy *Proxy
 }
 
 // New makes an edge. ctx carries what goes on behind an answer.
@@ -267,6 +270,9 @@
 			},
 		)
 	}
+	if e.proxy != nil {
+		out = append(out, e.proxy.rows()...)
+	}
 	for k, n := range s.Slots {
 		const help = "Slots that this edge has of a runner."
 		out = append(out, metrics.Row{Name: "slots", Help: help, Label: "runner", Of: k, Value: float64(n)})
@@ -305,6 +311,10 @@
 	Policy   string           `json:"policy"`
 	Share    int              `json:"policy_share"`
 	Fell     int64            `json:"policy_fallbacks"`
+	// Proxied counts the proxied requests by the name of the code that they were answered
+	// with; Quotas has what this edge knows of the tenants that asked it lately.
+	Proxied map[string]int64       `json:"proxied,omitempty"`
+	Quotas  map[string]quota.State `json:"quotas,omitempty"`
 }
 
 func (e *Edge) status() Status {
@@ -326,6 +336,9 @@
 	if l := e.Cluster.Now().Spec.Live; l != nil {
 		s.Policy, s.Share = l.Policy, l.Share
 	}
+	if e.proxy != nil {
+		s.Proxied, s.Quotas = e.proxy.Counts(), e.proxy.quotas.States()
+	}
 	for _, h := range e.slots.Report() {
 		s.Slots[h.Runner] = int(h.Plain + h.Urgent)
 	}
--- a/internal/dataplane/edge/proxy.go
+++ b/internal/dataplane/edge/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"damsontiller/internal/coordination/metrics"
 	"damsontiller/internal/dataplane/balancing/endpoints"
 	"damsontiller/internal/dataplane/balancing/loadreport"
 	"damsontiller/internal/dataplane/quota"
@@ -68,9 +69,39 @@
 	)
 	merged := quota.NewCollector(params.Quota)
 	r.loadReport = loadreport.New(params.LoadReport, e.Node, r.Endpoints, r.load, r.quotas, merged)
+	e.proxy = r
 	return r
 }
 
+// rows are the metrics of proxied requests. Tenants are named only while they are near their
+// quotas, which bounds the number of rows.
+func (r *Proxy) rows() []metrics.Row {
+	var out []metrics.Row
+	for name, n := range r.Counts() {
+		const help = "Proxied requests answered, by the code's name."
+		row := metrics.Row{Name: "proxied_total", Help: help, Label: "code", Of: name, Value: float64(n), Total: true}
+		out = append(out, row)
+	}
+	for tenant, state := range r.quotas.States() {
+		if state.Constrained {
+			const help = "Requests of a tenant near its quota that all edges admitted in a window, as merged here."
+			all := float64(state.Admitted) + state.Others
+			out = append(out, metrics.Row{Name: "quota_used", Help: help, Label: "tenant", Of: tenant, Value: all})
+		}
+	}
+	return out
+}
+
+// noTableLogInterval is the time between two lines about a table that does not come.
+const noTableLogInterval = 10 * time.Second
+
+// logNoTable says so while there is no table of routes: nothing is served until then.
+func (r *Proxy) logNoTable(context.Context) {
+	if r.edge.joined.Load() && r.edge.Cluster.Now().Table.Revision == 0 {
+		r.edge.Log.Warn("no configuration is in force yet: no request is served; see the cores' logs for orders refused")
+	}
+}
+
 // Ready reports whether proxied requests are taken.
 func (r *Proxy) Ready() error {
 	switch {
@@ -87,6 +118,11 @@
 func (r *Proxy) Run(ctx context.Context, list loadreport.List) {
 	r.edge.Go(ctx, func(ctx context.Context) { r.loadReport.Run(ctx, list) })
 	r.edge.Go(ctx, r.edge.Cooldowns.RunSnapshot)
+	r.edge.Go(ctx, func(ctx context.Context) {
+		if loop.Wait(ctx, noTableLogInterval) {
+			loop.Every(ctx, noTableLogInterval, nil, r.logNoTable)
+		}
+	})
 	loop.Every(ctx, time.Second, nil, func(context.Context) {
 		on := func(id string) bool { return r.Endpoints.Current().Get(id) != nil }
 		r.load.Retain(on)
--- a/internal/platform/control/clauses_test.go
+++ b/internal/platform/control/clauses_test.go
@@ -49,3 +49,27 @@
 		f.inForce(2, want)
 	})
 }
+
+// TestRefusedOrderLogged: an order that is refused for good is in the core's log with its
+// reason, and no credential is in the log or in the answer, whatever is wrong with the order.
+func TestRefusedOrderLogged(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		for _, c := range []struct{ body, why string }{
+			{strings.Replace(tenantsTable, `"keyed"`, `"twice"`, 1), "is not a route-type"},
+			{strings.Replace(tenantsTable, `"k-south-1"`, `"k-north-2"`, 1), "tenants north and south share one"},
+			{strings.Replace(tenantsTable, `"k-south-1"`, `"k-south-1",7`, 1), "expected string"},
+			{strings.Replace(tenantsTable, `"rate-per-s":324`, `"rate-per-s":-1`, 1), "is negative"},
+			{tenantsTable[:len(tenantsTable)-3], "is not JSON"},
+		} {
+			f.log.Reset()
+			status, answer, _ := f.ask(0, http.MethodPost, "/v1/configuration/replace", "0", c.body)
+			log := f.log.String()
+			if status != 400 || !strings.Contains(log, "order refused") || !strings.Contains(log, c.why) {
+				t.Errorf("%s: status %d, log %q", c.why, status, log)
+			}
+			if strings.Contains(log+answer, "k-north") || strings.Contains(log+answer, "k-south") {
+				t.Errorf("%s: a credential is shown: %s %s", c.why, log, answer)
+			}
+		}
+	})
+}
--- a/internal/platform/control/control_test.go
+++ b/internal/platform/control/control_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -49,6 +50,7 @@
 	net   *memnet.Net
 	doors []http.Handler
 	sets  *sets
+	log   bytes.Buffer // of the first core's orders
 }
 
 func run(t *testing.T, n int, f func(*fleet)) {
@@ -81,7 +83,11 @@
 				t.Fatal(err)
 			}
 			e := web.New(hclog.NewNullLogger())
-			(&Handler{Core: c, Sets: fl.sets}).Routes(e)
+			log := hclog.NewNullLogger()
+			if i == 0 {
+				log = hclog.New(&hclog.LoggerOptions{Output: &fl.log})
+			}
+			(&Handler{Core: c, Sets: fl.sets, Log: log}).Routes(e)
 			fl.doors = append(fl.doors, e)
 			began := make(chan error, 1)
 			go func() { began <- c.Start(ctx) }()
--- a/internal/platform/control/operate.go
+++ b/internal/platform/control/operate.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 
 	"damsontiller/internal/coordination/core"
@@ -37,6 +38,7 @@
 type Handler struct {
 	Core *core.Core
 	Sets Retirer
+	Log  hclog.Logger // nil: none
 }
 
 // Routes puts the operators' interface on e.
@@ -70,10 +72,14 @@
 	return http.StatusServiceUnavailable
 }
 
-func fail(x echo.Context, err error) error {
+// fail answers an order that was not carried out. One that is refused for good is logged: as
+// long as it is an operator's first, nothing else tells why nothing is served.
+func (o *Handler) fail(x echo.Context, err error) error {
 	s := status(code.Of(err))
 	if s == http.StatusServiceUnavailable {
 		x.Response().Header().Set("Retry-After", "0.2")
+	} else if o.Log != nil {
+		o.Log.Warn("order refused", "order", x.Request().URL.Path, "status", s, "err", err)
 	}
 	return x.JSON(s, web.Of(err))
 }
@@ -102,15 +108,15 @@
 ) error {
 	on, err := base(x.Request().Header.Get(hBase))
 	if err != nil {
-		return fail(x, err)
+		return o.fail(x, err)
 	}
 	b, err := web.Body(x, maxOrder)
 	if err != nil {
-		return fail(x, err)
+		return o.fail(x, err)
 	}
 	rev, apply, err := read(b)
 	if err != nil {
-		return fail(x, err)
+		return o.fail(x, err)
 	}
 	digest := digestOf(kind, on, b)
 	// One that was taken before changes nothing, but is chosen once more, so that
@@ -136,7 +142,7 @@
 	defer stop()
 	a, err := o.Core.Change(ctx, 0, func(r *spec.Cluster) error { return f(ctx, r) })
 	if err != nil {
-		return fail(x, err)
+		return o.fail(x, err)
 	}
 	return x.JSON(http.StatusOK, map[string]any{"version": a.Version, "in_force": a.InForce})
 }
@@ -146,11 +152,11 @@
 	defer stop()
 	v, err := o.Core.Cluster.ReadView(ctx)
 	if err != nil {
-		return fail(x, err)
+		return o.fail(x, err)
 	}
 	b, err := Written(&v.Table)
 	if err != nil {
-		return fail(x, err)
+		return o.fail(x, err)
 	}
 	return x.JSONBlob(http.StatusOK, b)
 }
@@ -181,7 +187,7 @@
 	ctx, stop := bound(x, 0)
 	defer stop()
 	if err := o.Sets.Retire(ctx, x.Param("node")); err != nil {
-		return fail(x, err)
+		return o.fail(x, err)
 	}
 	return x.JSON(http.StatusOK, map[string]string{"condition": "in_progress"})
 }
@@ -191,7 +197,7 @@
 	defer stop()
 	done, err := o.Sets.Retired(ctx, x.Param("node"))
 	if err != nil {
-		return fail(x, err)
+		return o.fail(x, err)
 	}
 	state := "in_progress"
 	if done {
