--- a/internal/kit/proxytest/outlier_test.go
+++ b/internal/kit/proxytest/outlier_test.go
@@ -13,6 +13,7 @@
 	"damsontiller/internal/dataplane/balancing/loadreport"
 	"damsontiller/internal/dataplane/edge"
 	"damsontiller/internal/dataplane/quota"
+	"damsontiller/internal/dataplane/request/proxy"
 	"damsontiller/internal/kit/proxytest"
 	"damsontiller/internal/kit/sim"
 	"damsontiller/internal/transport/loop"
@@ -23,6 +24,7 @@
 	t    *testing.T
 	bs   []*proxytest.Backend
 	rigs []*rig
+	sim  *sim.Sim
 
 	mu   sync.Mutex
 	all  int
@@ -44,14 +46,11 @@
 		var tallies []*loadreport.LoadReport
 		s, err := sim.New(
 			sim.Params{Deploy: "../../../deploy/andina", Seed: 1, Edges: 3, Edge: func(_ string, x *edge.Edge) {
-				r := newRig(t, e.bs)
-				e.rigs, tallies = append(
-					e.rigs,
-					r,
-				), append(
-					tallies,
-					loadreport.New(loadreport.DefaultParams, x.Node, r.endpoints, r.load, quota.NewNode(quota.DefaultParams), quota.NewCollector(quota.DefaultParams)),
-				)
+				quotas, merged := quota.NewNode(quota.DefaultParams), quota.NewCollector(quota.DefaultParams)
+				r := newRig(t, e.bs, proxy.NewQuotas(quotas, quota.DefaultParams))
+				e.rigs = append(e.rigs, r)
+				report := loadreport.New(loadreport.DefaultParams, x.Node, r.endpoints, r.load, quotas, merged)
+				tallies = append(tallies, report)
 			}},
 		)
 		if err != nil {
@@ -60,6 +59,7 @@
 		if err := s.Start(ctx); err != nil {
 			t.Fatal(err)
 		}
+		e.sim = s
 		var all []endpoints.Runner
 		for _, b := range e.bs {
 			all = append(all, endpoints.Runner{ID: b.P.ID, Service: "svc", Addr: b.P.Addr, Zone: "a", Capacity: 8})
