The list of runners is read by the first edge of each zone, handed on to the others

Change: an edge reads a stale list in its zone's turn (300 ms apart, 0.9 s at the longest, within what draining leaves); it reports to the first two edges of all, then of its own zone, then counts itself; quotas are merged at another edge only once the first has been silent for 1 s. What it is worth on the large sites is to be measured.

--- a/internal/dataplane/balancing/loadreport/loadreport.go
+++ b/internal/dataplane/balancing/loadreport/loadreport.go
@@ -32,6 +32,11 @@
 	ReadInterval time.Duration // between two readings of the list by whoever counts
 	Stale        time.Duration // a reading older than this is not waited with: the edge reads itself
 	Expiry       time.Duration // an edge's word counts for so long
+	TurnInterval time.Duration // between two edges of a zone that read a stale list themselves
+	LongestTurn  time.Duration // that an edge waits for the others
+	// FirstGone is after how long without an answer of the first edge quotas are merged at
+	// another: until then they go by what was heard last.
+	FirstGone time.Duration
 }
 
 // DefaultParams are the design's.
@@ -41,6 +46,9 @@
 	ReadInterval: 900 * time.Millisecond,
 	Stale:        1900 * time.Millisecond,
 	Expiry:       time.Second,
+	TurnInterval: 300 * time.Millisecond,
+	LongestTurn:  900 * time.Millisecond,
+	FirstGone:    time.Second,
 }
 
 // List reads the list of runners.
@@ -57,6 +65,9 @@
 	quotas    *quota.Node
 	merged    *quota.Collector
 
+	firstAnsweredAt time.Time // the reporting goroutine's own
+	startedAt       time.Time
+
 	mu       sync.Mutex
 	reports  map[string]edgeReport // by edge
 	lastRead time.Time             // when the last own reading was asked for
@@ -83,6 +94,7 @@
 		reports:   map[string]edgeReport{},
 		quotas:    q,
 		merged:    c,
+		startedAt: time.Now(),
 	}
 	n.Peer.Handle(&wire.Req_LoadReport{}, report.collect)
 	return report
@@ -99,8 +111,10 @@
 func (report *LoadReport) step(ctx context.Context) {
 	counts := report.load.Watch.TakeCounts()
 	own := report.own(counts)
-	for _, m := range singleton.Order(report.node.Cluster.Now(), report.node.Lease.Members()) {
-		if m.Id == report.node.Peer.Self.Id {
+	self := report.node.Peer.Self.Id
+	order := singleton.Order(report.node.Cluster.Now(), report.node.Lease.Members())
+	for _, m := range candidates(order, report.node.Peer.Self.Zone, self) {
+		if m.Id == self {
 			// This edge is the first that answers: it counts.
 			report.load.UpdateRemote(report.others(m.Id))
 			report.load.Watch.Update(report.judgeOutliers(m.Id, counts))
@@ -109,13 +123,62 @@
 			report.refresh(ctx, report.params.ReadInterval)
 			return
 		}
-		if report.report(ctx, m.Addr, own) {
-			report.refresh(ctx, report.params.Stale)
+		first := m.Id == order[0].Id
+		if report.report(ctx, m.Addr, own, first || report.sinceFirst() > report.params.FirstGone) {
+			if first {
+				report.firstAnsweredAt = time.Now()
+			}
+			report.refresh(ctx, report.params.Stale+report.turn(order))
 			return
 		}
 	}
 	report.load.Watch.RestoreCounts(counts)
-	report.refresh(ctx, report.params.Stale)
+	report.refresh(ctx, report.params.Stale+report.turn(order))
+}
+
+// maxCandidates is how many edges of each kind are asked in one step.
+const maxCandidates = 2
+
+// candidates are those that an edge may report to, in the order in which it tries them: the
+// first of all live edges, then the first of its own zone. So an edge that is cut off from the
+// other zones does not wait for all of their edges in turn, and comes to itself at last.
+func candidates(order []*wire.Member, zone, self string) []*wire.Member {
+	var out []*wire.Member
+	inZone := 0
+	for i, m := range order {
+		switch {
+		case i < maxCandidates:
+		case m.Zone == zone && inZone < maxCandidates:
+			inZone++
+		case m.Id == self:
+		default:
+			continue
+		}
+		if out = append(out, m); m.Id == self {
+			break
+		}
+	}
+	return out
+}
+
+// sinceFirst is for how long the first of all edges has not answered.
+func (report *LoadReport) sinceFirst() time.Duration { return time.Since(report.firstAnsweredAt) }
+
+// turn is how much longer than a stale reading takes to be noticed an edge waits before it
+// reads the list itself: the first of each zone does at once, and hands the reading on before
+// the others would. The platform takes only so many calls from all nodes together. No edge
+// waits for longer than draining runners leave it time.
+func (report *LoadReport) turn(order []*wire.Member) time.Duration {
+	rank := 0
+	for _, m := range order {
+		if m.Id == report.node.Peer.Self.Id {
+			break
+		}
+		if m.Zone == report.node.Peer.Self.Zone {
+			rank++
+		}
+	}
+	return min(time.Duration(rank)*report.params.TurnInterval, report.params.LongestTurn)
 }
 
 func (report *LoadReport) own(counts map[string]outlier.Count) []*wire.Busy {
@@ -155,11 +218,15 @@
 }
 
 // report tells the one that counts, and receives.
-func (report *LoadReport) report(ctx context.Context, addr string, own []*wire.Busy) bool {
+func (report *LoadReport) report(ctx context.Context, addr string, own []*wire.Busy, withQuota bool) bool {
 	report.mu.Lock()
 	sum := report.sum
 	report.mu.Unlock()
-	asked, used := time.Now(), report.quotas.Report()
+	asked := time.Now()
+	var used *wire.QuotaReport
+	if withQuota {
+		used = report.quotas.Report()
+	}
 	r, err := report.node.Peer.CallFor(
 		ctx,
 		report.params.Timeout,
@@ -170,7 +237,9 @@
 		return false
 	}
 	a := r.GetLoadReport()
-	report.quotas.Merge(used, asked, a.GetQuota())
+	if withQuota {
+		report.quotas.Merge(used, asked, a.GetQuota())
+	}
 	report.load.UpdateRemote(loadOf(a.GetOthers()))
 	v := outlier.Verdict{Slow: map[string]float64{}}
 	for _, o := range a.GetOutliers() {
@@ -218,7 +287,12 @@
 func (report *LoadReport) refresh(ctx context.Context, d time.Duration) {
 	report.mu.Lock()
 	list, last := report.discover, report.lastRead
-	if list == nil || time.Since(report.endpoints.Current().ReadAt) < d ||
+	readAt := report.endpoints.Current().ReadAt
+	if readAt.IsZero() && d > report.params.ReadInterval {
+		// Nobody has had the time yet to hand on what the first edge has read.
+		readAt = report.startedAt.Add(-report.params.Stale)
+	}
+	if list == nil || time.Since(readAt) < d ||
 		time.Since(last) < report.params.ReadInterval/3 {
 		report.mu.Unlock()
 		return
--- a/internal/kit/sim/loadreport_test.go
+++ b/internal/kit/sim/loadreport_test.go
@@ -28,6 +28,14 @@
 func tallied(
 	t *testing.T,
 	do func(ctx context.Context, s *sim.Sim, cs map[string]*clerk, list *[]endpoints.Runner, fail *bool),
+) {
+	talliedOf(t, 3, do)
+}
+
+func talliedOf(
+	t *testing.T,
+	edges int,
+	do func(ctx context.Context, s *sim.Sim, cs map[string]*clerk, list *[]endpoints.Runner, fail *bool),
 ) {
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
@@ -38,9 +46,10 @@
 		}
 		fail := false
 		s, err := sim.New(
-			sim.Params{Deploy: "../../../deploy/andina", Seed: 3, Edges: 3, Edge: func(id string, e *edge.Edge) {
+			sim.Params{Deploy: "../../../deploy/andina", Seed: 3, Edges: edges, Edge: func(id string, e *edge.Edge) {
 				c := &clerk{endpoints: endpoints.New(), load: proxy.NewLoad()}
-				c.t = loadreport.New(loadreport.DefaultParams, e.Node, c.endpoints, c.load, quota.NewNode(quota.DefaultParams), quota.NewCollector(quota.DefaultParams))
+				quotas, merged := quota.NewNode(quota.DefaultParams), quota.NewCollector(quota.DefaultParams)
+				c.t = loadreport.New(loadreport.DefaultParams, e.Node, c.endpoints, c.load, quotas, merged)
 				mu.Lock()
 				cs[id] = c
 				mu.Unlock()
@@ -121,6 +130,36 @@
 	})
 }
 
+// TestListReadsBounded: many edges that start together don't all ask the platform for the list,
+// nor when the one that reads it for them freezes: the platform takes only so many calls from
+// all nodes together, and what it refuses is a node without runners.
+func TestListReadsBounded(t *testing.T) {
+	const edges, most = 24, 8
+	talliedOf(t, edges, func(_ context.Context, s *sim.Sim, cs map[string]*clerk, _ *[]endpoints.Runner, _ *bool) {
+		check := func(what string) {
+			t.Helper()
+			readers := 0
+			for id, c := range cs {
+				if c.reads > 0 {
+					readers++
+				}
+				if age := time.Since(c.endpoints.Current().ReadAt); age > 2800*time.Millisecond && id != "e1" {
+					t.Errorf("%s: the list of %s is %s old", what, id, age)
+				}
+				c.reads = 0
+			}
+			if readers > most {
+				t.Errorf("%s: %d edges read the list, want %d at the most", what, readers, most)
+			}
+		}
+		check("start")
+		s.Freeze("e1")
+		defer s.Thaw("e1")
+		time.Sleep(8 * time.Second)
+		check("the reader is frozen")
+	})
+}
+
 // TestLoadReportAlone: an edge that reaches nobody reads the list itself, before what it
 // has is older than draining allows; so do all where the one that counts has departed.
 func TestLoadReportAlone(t *testing.T) {
