A cooldown that is read counts from when the first store took it, as the stores' own word does

Cause: the second one of TestNever11Tier (docs/cooldown.md): a read of the register counted a cooldown from when the last of a majority took it, what single stores tell from when the first did; where proposers competed, two edges told callers ends 0.4 s and more apart. Change: a read states both ages; cooldowns go by the greatest, budgets by the least, as before.

--- a/internal/dataplane/cooldown/manager_test.go
+++ b/internal/dataplane/cooldown/manager_test.go
@@ -75,6 +75,7 @@
 			) * time.Millisecond
 			now += gap
 			st.Age += gap
+			st.GreatestAge += gap
 			inForce := now < end
 			v, changed, err := nextValue(c, st, floor)
 			if err != nil {
--- a/internal/dataplane/cooldown/schedule.go
+++ b/internal/dataplane/cooldown/schedule.go
@@ -62,7 +62,9 @@
 	if err != nil {
 		return 0, v, err
 	}
-	return max(time.Duration(v.WaitMs)*time.Millisecond-st.Age, 0), v, nil
+	// The stores' own word on a cooldown counts from when the first of them took it; a read
+	// must too, or two edges tell callers two ends of one cooldown.
+	return max(time.Duration(v.WaitMs)*time.Millisecond-st.GreatestAge, 0), v, nil
 }
 
 // Next works out the value after one more refusal. Refusals within one
--- a/internal/proto/register/change.go
+++ b/internal/proto/register/change.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		found, holders := highest(got)
-		if p.complete(ctx, key, found, holders) != nil {
+		if p.complete(ctx, key, found.View, holders) != nil {
 			continue
 		}
 		next, err := c.propose(found, holders)
@@ -121,7 +121,7 @@
 
 // propose computes the proposal from what a quorum's answers to a prepare show. It fails
 // where it can no longer be determined whether this change was made.
-func (c *change) propose(found *wire.View, holders map[Replica]bool) (*proposal, error) {
+func (c *change) propose(found newestView, holders map[Replica]bool) (*proposal, error) {
 	n := &proposal{state: stateOf(found), cell: found.GetCell(), holders: holders}
 	if c.update == nil || slices.Contains(n.cell.GetOps(), c.operation) {
 		// Ours already, or nothing to change: only make it safe.
--- a/internal/proto/register/prepared.go
+++ b/internal/proto/register/prepared.go
@@ -31,6 +31,7 @@
 		// then is never more than the time it has been held: a lower bound, as the
 		// acceptors' own counts are, and one that their restarts don't undo.
 		st.Age = time.Since(a.preparedAt.Monotonic())
+		st.GreatestAge = st.Age
 	}
 	value, timed, err := f(st)
 	if err != nil {
--- a/internal/proto/register/proposer.go
+++ b/internal/proto/register/proposer.go
@@ -23,17 +23,22 @@
 type State struct {
 	Version uint64
 	Value   []byte
-	// Age is the least time that a majority has held a timed value.
-	Age time.Duration
+	// Age is the least time that a majority has held a timed value, GreatestAge the greatest
+	// that any replica of it has. A replica counts from when it took the value, so neither is
+	// more than the time since the value was proposed.
+	Age         time.Duration
+	GreatestAge time.Duration
 	// Expired: there was a value, and it is past its keeping time.
 	Expired bool
 }
 
-func stateOf(v *wire.View) State {
+func stateOf(v newestView) State {
 	return State{
 		Version: v.GetCell().GetVer(),
 		Value:   v.GetCell().GetVal(),
 		Age:     time.Duration(v.GetAgeMs()) * time.Millisecond,
+
+		GreatestAge: time.Duration(v.greatestAgeMs) * time.Millisecond,
 		Expired: v.GetCell().GetPast(),
 	}
 }
@@ -91,7 +96,7 @@
 		return State{}, fmt.Errorf("read %s: %w: %w", key, ErrNoQuorum, firstError(got))
 	}
 	top, holders := highest(got)
-	if set.Quorum(holders) && p.complete(ctx, key, top, holders) == nil {
+	if set.Quorum(holders) && p.complete(ctx, key, top.View, holders) == nil {
 		return stateOf(top), nil
 	}
 	st, err := p.Change(ctx, set, key, nil)
--- a/internal/proto/register/repair_test.go
+++ b/internal/proto/register/repair_test.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		cur, holders := highest(got)
-		if p.complete(ctx, key, cur, holders) != nil {
+		if p.complete(ctx, key, cur.View, holders) != nil {
 			continue
 		}
 		if cur.GetCell() == nil {
--- a/internal/proto/register/round.go
+++ b/internal/proto/register/round.go
@@ -127,11 +127,18 @@
 	return m
 }
 
+// newestView is the value accepted under the highest ballot among some answers. Its AgeMs is
+// the least that a replica states of it.
+type newestView struct {
+	*wire.View
+	greatestAgeMs int64 // that a replica states
+}
+
 // highest finds the newest accepted cell among the successful replies, and who has
 // accepted it. A copy that a voter imported below its promise is found like any cell but
 // is no vote for its ballot: the proposer that was promised may still have another cell
 // accepted there.
-func highest(got []reply) (*wire.View, map[Replica]bool) {
+func highest(got []reply) (newestView, map[Replica]bool) {
 	var top *wire.View
 	for _, g := range got {
 		if g.err != nil {
@@ -146,7 +153,7 @@
 		}
 	}
 	holders := map[Replica]bool{}
-	age := int64(-1)
+	age, greatest := int64(-1), int64(0)
 	for _, g := range got {
 		v := g.resp.GetView()
 		if g.err == nil && wire.CompareBallots(v.GetAccepted(), top.GetAccepted()) == 0 {
@@ -157,18 +164,20 @@
 			if age < 0 || v.GetAgeMs() < age {
 				age = v.GetAgeMs()
 			}
+			greatest = max(greatest, v.GetAgeMs())
 		}
 	}
 	if top == nil {
-		return nil, holders
+		return newestView{}, holders
 	}
-	return &wire.View{
+	view := &wire.View{
 		Accepted:        top.Accepted,
 		Cell:            top.Cell,
 		AgeMs:           age,
 		CompressedValue: top.CompressedValue,
 		ValueOmitted:    top.ValueOmitted,
-	}, holders
+	}
+	return newestView{view, greatest}, holders
 }
 
 // allRefused reports whether every voter has answered that it accepted nothing under a
