Load reports by zone in large fleets; quotas are exchanged by messages of their own

Cause (hypothesis): one edge collects the load of all. At 255 edges it is asked 1,020 times a second for answers of some 2.5 KB, on a link of 3.75 MB/s and a fifth of a processor: more than it bears, so reports are lost, loads are unknown and edges go on to the next one and to the platform's list. Change: with over 96 live edges each zone has a collector, and the collectors exchange the sums of their zones and the outcomes of jobs there, in pairs. What it is worth on the large sites is to be measured.

--- a/internal/dataplane/balancing/loadreport/loadreport.go
+++ b/internal/dataplane/balancing/loadreport/loadreport.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"hash/fnv"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +19,6 @@
 	"damsontiller/internal/coordination/singleton"
 	"damsontiller/internal/dataplane/balancing/endpoints"
 	"damsontiller/internal/dataplane/balancing/outlier"
-	"damsontiller/internal/dataplane/quota"
 	"damsontiller/internal/dataplane/request/proxy"
 	"damsontiller/internal/proto/wire"
 	"damsontiller/internal/transport/code"
@@ -32,23 +32,22 @@
 	ReadInterval time.Duration // between two readings of the list by whoever counts
 	Stale        time.Duration // a reading older than this is not waited with: the edge reads itself
 	Expiry       time.Duration // an edge's word counts for so long
-	TurnInterval time.Duration // between two edges of a zone that read a stale list themselves
-	LongestTurn  time.Duration // that an edge waits for the others
-	// FirstGone is after how long without an answer of the first edge quotas are merged at
-	// another: until then they go by what was heard last.
-	FirstGone time.Duration
+	// SingleCollector is the largest fleet, in edges, in which one edge counts for all.
+	SingleCollector int
+	TurnInterval    time.Duration // between two edges of a zone that read a stale list themselves
+	LongestTurn     time.Duration // that an edge waits for the others
 }
 
 // DefaultParams are the design's.
 var DefaultParams = Params{
-	Interval:     250 * time.Millisecond,
-	Timeout:      150 * time.Millisecond,
-	ReadInterval: 900 * time.Millisecond,
-	Stale:        1900 * time.Millisecond,
-	Expiry:       time.Second,
-	TurnInterval: 300 * time.Millisecond,
-	LongestTurn:  900 * time.Millisecond,
-	FirstGone:    time.Second,
+	Interval:        250 * time.Millisecond,
+	Timeout:         150 * time.Millisecond,
+	ReadInterval:    900 * time.Millisecond,
+	Stale:           1900 * time.Millisecond,
+	Expiry:          time.Second,
+	SingleCollector: 96,
+	TurnInterval:    300 * time.Millisecond,
+	LongestTurn:     900 * time.Millisecond,
 }
 
 // List reads the list of runners.
@@ -62,20 +61,14 @@
 	load      *proxy.Load
 	discover  List
 	outliers  *outlier.Detector
-	quotas    *quota.Node
-	merged    *quota.Collector
-
-	firstAnsweredAt time.Time // the reporting goroutine's own
-	startedAt       time.Time
+	startedAt time.Time
+	zones     *zoneExchange
 
 	mu       sync.Mutex
 	reports  map[string]edgeReport // by edge
 	lastRead time.Time             // when the last own reading was asked for
 	body     []byte                // the endpoint list as it is handed on
 	sum      uint64
-	// limits are the tenants' quotas under the version limitsOf.
-	limits   map[string]quota.Limit
-	limitsOf uint64
 }
 
 type edgeReport struct {
@@ -83,8 +76,8 @@
 	load       []*wire.Busy
 }
 
-// New makes a load report; list may be set until Run. The counts of quotas travel with it.
-func New(p Params, n *node.Node, r *endpoints.Store, l *proxy.Load, q *quota.Node, c *quota.Collector) *LoadReport {
+// New makes a load report; list may be set until Run.
+func New(p Params, n *node.Node, r *endpoints.Store, l *proxy.Load) *LoadReport {
 	report := &LoadReport{
 		params:    p,
 		node:      n,
@@ -92,9 +85,8 @@
 		load:      l,
 		outliers:  outlier.NewDetector(outlier.DefaultParams),
 		reports:   map[string]edgeReport{},
-		quotas:    q,
-		merged:    c,
 		startedAt: time.Now(),
+		zones:     newZoneExchange(),
 	}
 	n.Peer.Handle(&wire.Req_LoadReport{}, report.collect)
 	return report
@@ -113,21 +105,12 @@
 	own := report.own(counts)
 	self := report.node.Peer.Self.Id
 	order := singleton.Order(report.node.Cluster.Now(), report.node.Lease.Members())
-	for _, m := range candidates(order, report.node.Peer.Self.Zone, self) {
+	for _, m := range report.candidates(order) {
 		if m.Id == self {
-			// This edge is the first that answers: it counts.
-			report.load.UpdateRemote(report.others(m.Id))
-			report.load.Watch.Update(report.judgeOutliers(m.Id, counts))
-			used, at := report.quotas.Report(), time.Now()
-			report.quotas.Merge(used, at, report.collectQuota(m.Id, m.Inc, used))
-			report.refresh(ctx, report.params.ReadInterval)
+			report.collectHere(ctx, order, counts)
 			return
 		}
-		first := m.Id == order[0].Id
-		if report.report(ctx, m.Addr, own, first || report.sinceFirst() > report.params.FirstGone) {
-			if first {
-				report.firstAnsweredAt = time.Now()
-			}
+		if report.report(ctx, m.Addr, own) {
 			report.refresh(ctx, report.params.Stale+report.turn(order))
 			return
 		}
@@ -136,34 +119,53 @@
 	report.refresh(ctx, report.params.Stale+report.turn(order))
 }
 
+// collectHere is a step of an edge that is the first that answers: it counts.
+func (report *LoadReport) collectHere(ctx context.Context, order []*wire.Member, counts map[string]outlier.Count) {
+	self := report.node.Peer.Self.Id
+	report.zones.add(counts)
+	report.load.Watch.Update(report.judgeOutliers(self, counts))
+	readInterval := report.params.ReadInterval
+	if report.byZone(order) {
+		report.exchangeZones(ctx, order)
+		if order[0].Id != self {
+			readInterval = report.params.Stale
+		}
+	}
+	report.load.UpdateRemote(report.others(self))
+	report.refresh(ctx, readInterval)
+}
+
 // maxCandidates is how many edges of each kind are asked in one step.
 const maxCandidates = 2
 
-// candidates are those that an edge may report to, in the order in which it tries them: the
-// first of all live edges, then the first of its own zone. So an edge that is cut off from the
-// other zones does not wait for all of their edges in turn, and comes to itself at last.
-func candidates(order []*wire.Member, zone, self string) []*wire.Member {
-	var out []*wire.Member
-	inZone := 0
-	for i, m := range order {
-		switch {
-		case i < maxCandidates:
-		case m.Zone == zone && inZone < maxCandidates:
-			inZone++
-		case m.Id == self:
-		default:
-			continue
+// candidates are those that this edge may report to, in the order in which it tries them: the
+// first of all live edges, then the first of its own zone, in a large fleet the other way
+// round. So an edge that is cut off from the other zones does not wait for all of their edges in
+// turn, and comes to itself at last.
+func (report *LoadReport) candidates(order []*wire.Member) []*wire.Member {
+	self := &report.node.Peer.Self
+	var inZone []*wire.Member
+	for _, m := range order {
+		if m.Zone == self.Zone && len(inZone) < maxCandidates {
+			inZone = append(inZone, m)
 		}
-		if out = append(out, m); m.Id == self {
-			break
+	}
+	all := slices.Concat(order[:min(maxCandidates, len(order))], inZone)
+	if report.byZone(order) {
+		all = slices.Concat(inZone, order[:maxCandidates])
+	}
+	if at := slices.IndexFunc(order, func(m *wire.Member) bool { return m.Id == self.Id }); at >= 0 {
+		all = append(all, order[at])
+	}
+	var out []*wire.Member
+	for _, m := range all {
+		if !slices.Contains(out, m) {
+			out = append(out, m)
 		}
 	}
 	return out
 }
 
-// sinceFirst is for how long the first of all edges has not answered.
-func (report *LoadReport) sinceFirst() time.Duration { return time.Since(report.firstAnsweredAt) }
-
 // turn is how much longer than a stale reading takes to be noticed an edge waits before it
 // reads the list itself: the first of each zone does at once, and hands the reading on before
 // the others would. The platform takes only so many calls from all nodes together. No edge
@@ -218,28 +220,18 @@
 }
 
 // report tells the one that counts, and receives.
-func (report *LoadReport) report(ctx context.Context, addr string, own []*wire.Busy, withQuota bool) bool {
-	report.mu.Lock()
-	sum := report.sum
-	report.mu.Unlock()
-	asked := time.Now()
-	var used *wire.QuotaReport
-	if withQuota {
-		used = report.quotas.Report()
-	}
+func (report *LoadReport) report(ctx context.Context, addr string, own []*wire.Busy) bool {
+	sum, asked := report.rollSum(), time.Now()
 	r, err := report.node.Peer.CallFor(
 		ctx,
 		report.params.Timeout,
 		addr,
-		&wire.Req{Op: &wire.Req_LoadReport{LoadReport: &wire.LoadReport{Own: own, Roll: sum, Quota: used}}},
+		&wire.Req{Op: &wire.Req_LoadReport{LoadReport: &wire.LoadReport{Own: own, Roll: sum}}},
 	)
 	if err != nil {
 		return false
 	}
 	a := r.GetLoadReport()
-	if withQuota {
-		report.quotas.Merge(used, asked, a.GetQuota())
-	}
 	report.load.UpdateRemote(loadOf(a.GetOthers()))
 	v := outlier.Verdict{Slow: map[string]float64{}}
 	for _, o := range a.GetOutliers() {
@@ -251,8 +243,21 @@
 		}
 	}
 	report.load.Watch.Update(v)
+	report.adoptList(asked, sum, a)
+	return true
+}
+
+// rollSum is the digest of the list that this edge has.
+func (report *LoadReport) rollSum() uint64 {
+	report.mu.Lock()
+	defer report.mu.Unlock()
+	return report.sum
+}
+
+// adoptList takes the list out of an answer to whoever had the one with that digest.
+func (report *LoadReport) adoptList(asked time.Time, sum uint64, a *wire.LoadReportAck) {
 	if a.GetRollAgeMs() < 0 {
-		return true
+		return
 	}
 	// The age was counted before the answer came, so this reading is no younger
 	// than it is taken to be.
@@ -263,7 +268,6 @@
 	case a.Roll == sum:
 		report.endpoints.Confirm(at)
 	}
-	return true
 }
 
 func (report *LoadReport) adopt(at time.Time, body []byte, sum uint64) {
@@ -329,33 +333,15 @@
 	return out
 }
 
-// collectQuota merges what a node has counted of quotas.
-func (report *LoadReport) collectQuota(id string, incarnation uint64, used *wire.QuotaReport) *wire.QuotaNews {
-	var fleet quota.Fleet
-	for _, m := range report.node.Lease.Members() {
-		if m.Role == "edge" {
-			fleet = append(fleet, m.Id)
-		}
-	}
-	return report.merged.Collect(id, incarnation, used, fleet, report.limitOf)
-}
-
-// limitOf is the quota of a tenant, by the table in force here.
-func (report *LoadReport) limitOf(tenant string) quota.Limit {
-	view := report.node.Cluster.Now()
-	report.mu.Lock()
-	defer report.mu.Unlock()
-	if report.limitsOf != view.Version {
-		report.limits, report.limitsOf = map[string]quota.Limit{}, view.Version
-		for _, t := range view.Table.Tenants {
-			report.limits[t.Name] = quota.Limit{RatePerS: t.RatePerS, Burst: t.Burst}
-		}
-	}
-	return report.limits[tenant]
+// others sums up what all but one have under way, as last received, other zones included.
+func (report *LoadReport) others(but string) map[string]proxy.InFlight {
+	all := report.reported(but)
+	report.zones.addTo(all, report.params.Expiry)
+	return all
 }
 
-// others sums up what all but one have under way, as last received.
-func (report *LoadReport) others(but string) map[string]proxy.InFlight {
+// reported sums up what all but one of those that report here have under way.
+func (report *LoadReport) reported(but string) map[string]proxy.InFlight {
 	report.mu.Lock()
 	defer report.mu.Unlock()
 	out := map[string]proxy.InFlight{}
@@ -378,6 +364,19 @@
 	return out
 }
 
+// Reporters is how many edges have reported to this one within Expiry.
+func (report *LoadReport) Reporters() int {
+	report.mu.Lock()
+	defer report.mu.Unlock()
+	n := 0
+	for _, r := range report.reports {
+		if time.Since(r.receivedAt) <= report.params.Expiry {
+			n++
+		}
+	}
+	return n
+}
+
 func loadOf(bs []*wire.Busy) map[string]proxy.InFlight {
 	out := make(map[string]proxy.InFlight, len(bs))
 	for _, b := range bs {
@@ -391,29 +390,38 @@
 	if q.Id == "" {
 		return nil, code.New(code.Garbled, "a load report of nobody")
 	}
+	a := &wire.LoadReportAck{RollAgeMs: -1}
+	if q.GetLoadReport().GetZone() != "" {
+		report.answerZone(q.GetLoadReport(), a)
+	} else {
+		report.answerEdge(q.Id, q.GetLoadReport(), a)
+	}
 	report.mu.Lock()
-	report.reports[q.Id] = edgeReport{time.Now(), q.GetLoadReport().GetOwn()}
-	report.mu.Unlock()
-	counts := map[string]outlier.Count{}
-	for _, b := range q.GetLoadReport().GetOwn() {
-		if b.Ended > 0 {
-			counts[b.Runner] = outlier.Count{
-				Ended:    int(b.Ended),
-				Failures: int(b.Failures),
-				Paced:    int(b.Paced),
-				Pace:     float64(b.Pace) / 100,
-			}
+	defer report.mu.Unlock()
+	if l := report.endpoints.Current(); len(report.body) > 0 {
+		a.Roll, a.RollAgeMs = report.sum, time.Since(l.ReadAt).Milliseconds()
+		if a.Roll != q.GetLoadReport().GetRoll() {
+			a.Runners = report.body
 		}
 	}
-	a := &wire.LoadReportAck{RollAgeMs: -1}
-	v := report.judgeOutliers(q.Id, counts)
+	return &wire.Resp{Op: &wire.Resp_LoadReport{LoadReport: a}}, nil
+}
+
+// answerEdge counts an edge's report, and tells it what the others have.
+func (report *LoadReport) answerEdge(id string, q *wire.LoadReport, a *wire.LoadReportAck) {
+	report.mu.Lock()
+	report.reports[id] = edgeReport{time.Now(), q.GetOwn()}
+	report.mu.Unlock()
+	counts := outcomesOf(q.GetOwn())
+	report.zones.add(counts)
+	v := report.judgeOutliers(id, counts)
 	for _, e := range v.Ejected {
 		a.Outliers = append(a.Outliers, &wire.Outlier{Runner: e.ID, Ejected: true, Trial: e.Trial})
 	}
 	for id, x := range v.Slow {
 		a.Outliers = append(a.Outliers, &wire.Outlier{Runner: id, Slow: int32(100 * x)})
 	}
-	o := report.others(q.Id)
+	o := report.others(id)
 	// Its own is not kept: it is known at the moment.
 	for id, b := range report.load.Own() {
 		x := o[id]
@@ -422,16 +430,20 @@
 	for id, b := range o {
 		a.Others = append(a.Others, &wire.Busy{Runner: id, Jobs: int32(b.Requests), Tokens: b.Tokens})
 	}
-	if used := q.GetLoadReport().GetQuota(); used != nil {
-		a.Quota = report.collectQuota(q.Id, q.Inc, used)
-	}
-	report.mu.Lock()
-	defer report.mu.Unlock()
-	if l := report.endpoints.Current(); len(report.body) > 0 {
-		a.Roll, a.RollAgeMs = report.sum, time.Since(l.ReadAt).Milliseconds()
-		if a.Roll != q.GetLoadReport().GetRoll() {
-			a.Runners = report.body
+}
+
+// outcomesOf is what a report says of how jobs ended.
+func outcomesOf(own []*wire.Busy) map[string]outlier.Count {
+	counts := map[string]outlier.Count{}
+	for _, b := range own {
+		if b.Ended > 0 {
+			counts[b.Runner] = outlier.Count{
+				Ended:    int(b.Ended),
+				Failures: int(b.Failures),
+				Paced:    int(b.Paced),
+				Pace:     float64(b.Pace) / 100,
+			}
 		}
 	}
-	return &wire.Resp{Op: &wire.Resp_LoadReport{LoadReport: a}}, nil
+	return counts
 }
--- a/internal/dataplane/balancing/outlier/outlier.go
+++ b/internal/dataplane/balancing/outlier/outlier.go
@@ -20,6 +20,12 @@
 	Pace  float64
 }
 
+// Plus is the sum of two counts.
+func (c Count) Plus(o Count) Count {
+	c.add(o)
+	return c
+}
+
 func (c *Count) add(o Count) {
 	c.Ended += o.Ended
 	c.Failures += o.Failures
--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -315,6 +315,8 @@
 	// with; Quotas has what this edge knows of the tenants that asked it lately.
 	Proxied map[string]int64       `json:"proxied,omitempty"`
 	Quotas  map[string]quota.State `json:"quotas,omitempty"`
+	// Reporters is how many edges report their load to this one.
+	Reporters int `json:"load_reporters"`
 }
 
 func (e *Edge) status() Status {
@@ -338,6 +340,7 @@
 	}
 	if e.proxy != nil {
 		s.Proxied, s.Quotas = e.proxy.Counts(), e.proxy.quotas.States()
+		s.Reporters = e.proxy.loadReport.Reporters()
 	}
 	for _, h := range e.slots.Report() {
 		s.Slots[h.Runner] = int(h.Plain + h.Urgent)
--- a/internal/dataplane/edge/proxy.go
+++ b/internal/dataplane/edge/proxy.go
@@ -21,6 +21,7 @@
 	pool       *proxy.Pool
 	loadReport *loadreport.LoadReport
 	quotas     *quota.Node
+	exchange   *quota.Exchange
 	edge       *Edge
 	params     ProxyParams
 }
@@ -30,10 +31,11 @@
 	proxy.Params
 	LoadReport loadreport.Params
 	Quota      quota.Params
+	Exchange   quota.ExchangeParams
 }
 
 // DefaultProxy are the design's.
-var DefaultProxy = ProxyParams{Params: proxy.DefaultParams, LoadReport: loadreport.DefaultParams, Quota: quota.DefaultParams}
+var DefaultProxy = ProxyParams{Params: proxy.DefaultParams, LoadReport: loadreport.DefaultParams, Quota: quota.DefaultParams, Exchange: quota.DefaultExchange}
 
 // NewProxy joins the parts of a proxied request's way, in one fixed order. It is called before
 // Start.
@@ -67,8 +69,8 @@
 			},
 		},
 	)
-	merged := quota.NewCollector(params.Quota)
-	r.loadReport = loadreport.New(params.LoadReport, e.Node, r.Endpoints, r.load, r.quotas, merged)
+	r.loadReport = loadreport.New(params.LoadReport, e.Node, r.Endpoints, r.load)
+	r.exchange = quota.NewExchange(params.Exchange, e.Node, r.quotas, quota.NewCollector(params.Quota))
 	e.proxy = r
 	return r
 }
@@ -117,6 +119,7 @@
 // until ctx ends.
 func (r *Proxy) Run(ctx context.Context, list loadreport.List) {
 	r.edge.Go(ctx, func(ctx context.Context) { r.loadReport.Run(ctx, list) })
+	r.edge.Go(ctx, r.exchange.Run)
 	r.edge.Go(ctx, r.edge.Cooldowns.RunSnapshot)
 	r.edge.Go(ctx, func(ctx context.Context) {
 		if loop.Wait(ctx, noTableLogInterval) {
--- a/internal/kit/proxytest/outlier_test.go
+++ b/internal/kit/proxytest/outlier_test.go
@@ -44,12 +44,15 @@
 			p.Work, p.Pace, p.Health = 20*time.Millisecond, 5*time.Millisecond, "/health"
 		})}
 		var tallies []*loadreport.LoadReport
+		var exchanges []*quota.Exchange
 		s, err := sim.New(
 			sim.Params{Deploy: "../../../deploy/andina", Seed: 1, Edges: 3, Edge: func(_ string, x *edge.Edge) {
-				quotas, merged := quota.NewNode(quota.DefaultParams), quota.NewCollector(quota.DefaultParams)
+				quotas := quota.NewNode(quota.DefaultParams)
+				collector := quota.NewCollector(quota.DefaultParams)
+				exchanges = append(exchanges, quota.NewExchange(quota.DefaultExchange, x.Node, quotas, collector))
 				r := newRig(t, e.bs, proxy.NewQuotas(quotas, quota.DefaultParams))
 				e.rigs = append(e.rigs, r)
-				report := loadreport.New(loadreport.DefaultParams, x.Node, r.endpoints, r.load, quotas, merged)
+				report := loadreport.New(loadreport.DefaultParams, x.Node, r.endpoints, r.load)
 				tallies = append(tallies, report)
 			}},
 		)
@@ -73,6 +76,9 @@
 				)
 			})
 		}
+		for _, x := range exchanges {
+			wg.Go(func() { x.Run(ctx) })
+		}
 		loop.Wait(ctx, 2*time.Second)
 		do(t, e)
 		stop()
--- a/internal/kit/sim/loadreport_test.go
+++ b/internal/kit/sim/loadreport_test.go
@@ -11,7 +11,6 @@
 	"damsontiller/internal/dataplane/balancing/endpoints"
 	"damsontiller/internal/dataplane/balancing/loadreport"
 	"damsontiller/internal/dataplane/edge"
-	"damsontiller/internal/dataplane/quota"
 	"damsontiller/internal/dataplane/request/proxy"
 	"damsontiller/internal/kit/sim"
 )
@@ -29,12 +28,13 @@
 	t *testing.T,
 	do func(ctx context.Context, s *sim.Sim, cs map[string]*clerk, list *[]endpoints.Runner, fail *bool),
 ) {
-	talliedOf(t, 3, do)
+	talliedBy(t, 3, loadreport.DefaultParams, do)
 }
 
-func talliedOf(
+func talliedBy(
 	t *testing.T,
 	edges int,
+	params loadreport.Params,
 	do func(ctx context.Context, s *sim.Sim, cs map[string]*clerk, list *[]endpoints.Runner, fail *bool),
 ) {
 	synctest.Test(t, func(t *testing.T) {
@@ -48,8 +48,7 @@
 		s, err := sim.New(
 			sim.Params{Deploy: "../../../deploy/andina", Seed: 3, Edges: edges, Edge: func(id string, e *edge.Edge) {
 				c := &clerk{endpoints: endpoints.New(), load: proxy.NewLoad()}
-				quotas, merged := quota.NewNode(quota.DefaultParams), quota.NewCollector(quota.DefaultParams)
-				c.t = loadreport.New(loadreport.DefaultParams, e.Node, c.endpoints, c.load, quotas, merged)
+				c.t = loadreport.New(params, e.Node, c.endpoints, c.load)
 				mu.Lock()
 				cs[id] = c
 				mu.Unlock()
@@ -135,7 +134,7 @@
 // all nodes together, and what it refuses is a node without runners.
 func TestListReadsBounded(t *testing.T) {
 	const edges, most = 24, 8
-	talliedOf(t, edges, func(_ context.Context, s *sim.Sim, cs map[string]*clerk, _ *[]endpoints.Runner, _ *bool) {
+	talliedBy(t, edges, loadreport.DefaultParams, func(_ context.Context, s *sim.Sim, cs map[string]*clerk, _ *[]endpoints.Runner, _ *bool) {
 		check := func(what string) {
 			t.Helper()
 			readers := 0
@@ -208,3 +207,79 @@
 		}
 	})
 }
+
+// TestLoadReportByZone: in a fleet of many edges each zone has a collector, and the collectors
+// exchange their sums. One collector for all was asked by 255 edges, four times a second each,
+// for answers that grow with the runners: several times what an edge's link and processor bear,
+// so that reports were lost, loads were unknown and each edge read the list of runners itself.
+// Every edge hears of the load in every zone, one reads the list for all, none answers more than
+// its zone's edges; and the end of one zone's collector costs the others nothing.
+func TestLoadReportByZone(t *testing.T) {
+	params := loadreport.DefaultParams
+	params.SingleCollector = 6
+	talliedBy(t, 24, params, func(_ context.Context, s *sim.Sim, cs map[string]*clerk, list *[]endpoints.Runner, _ *bool) {
+		jobs := 0
+		for _, c := range cs {
+			c.load.Begin("i-1", 10)
+			jobs++
+		}
+		check := func(what string, want int) {
+			t.Helper()
+			for id, c := range cs {
+				if n := c.load.InFlight()["i-1"]; n != want {
+					t.Errorf("%s: %s counts %d jobs, want %d", what, id, n, want)
+				}
+			}
+		}
+		time.Sleep(1500 * time.Millisecond)
+		check("all", jobs)
+		(*list)[0].Draining = true
+		time.Sleep(1900 * time.Millisecond)
+		for id, c := range cs {
+			if !c.endpoints.Current().Get("i-1").Draining {
+				t.Errorf("%s does not know after 1.9 s that the runner leaves", id)
+			}
+			c.reads = 0
+		}
+		time.Sleep(5 * time.Second)
+		readers := 0
+		for _, c := range cs {
+			if c.reads > 0 {
+				readers++
+			}
+		}
+		if readers != 1 {
+			t.Errorf("%d edges read the list all the time, want 1", readers)
+		}
+		for id, c := range cs {
+			if n := c.t.Reporters(); n > len(cs)/2 {
+				t.Errorf("%d of %d edges report to %s", n, len(cs), id)
+			}
+		}
+		// The collector of a zone other than the first freezes: its edges go on with the next.
+		frozen := secondZoneCollector(s)
+		s.Freeze(frozen)
+		defer s.Thaw(frozen)
+		time.Sleep(8 * time.Second)
+		for id, c := range cs {
+			if n := c.load.InFlight()["i-1"]; id != frozen && n != jobs-1 {
+				t.Errorf("with %s frozen: %s counts %d jobs, want %d", frozen, id, n, jobs-1)
+			}
+		}
+	})
+}
+
+// secondZoneCollector is the first edge of a zone that the first edge of all is not in.
+func secondZoneCollector(s *sim.Sim) string {
+	first := ""
+	for _, m := range s.Machines {
+		switch {
+		case m.Role != "edge":
+		case first == "":
+			first = m.Zone
+		case m.Zone != first:
+			return m.ID
+		}
+	}
+	return ""
+}
--- a/internal/proto/register/proposer.go
+++ b/internal/proto/register/proposer.go
@@ -39,7 +39,7 @@
 		Age:     time.Duration(v.GetAgeMs()) * time.Millisecond,
 
 		GreatestAge: time.Duration(v.greatestAgeMs) * time.Millisecond,
-		Expired: v.GetCell().GetPast(),
+		Expired:     v.GetCell().GetPast(),
 	}
 }
 
