An edge's turn to read the list counts from when it began to report; mutants of the new mechanisms

Cause: TestListReadsBounded failed once in a copy beside load (14 of 24 edges read the list at a start, 8 at the most are wanted): turns were counted from when the process was made, which may be long before it has joined, so that all turns had come at once. Change: they count from when the edge began to report.

--- a/internal/dataplane/balancing/loadreport/loadreport.go
+++ b/internal/dataplane/balancing/loadreport/loadreport.go
@@ -61,14 +61,15 @@
 	load      *proxy.Load
 	discover  List
 	outliers  *outlier.Detector
-	startedAt time.Time
 	zones     *zoneExchange
 
 	mu       sync.Mutex
 	reports  map[string]edgeReport // by edge
 	lastRead time.Time             // when the last own reading was asked for
-	body     []byte                // the endpoint list as it is handed on
-	sum      uint64
+	// runningSince is when this edge began to report: it has joined by then.
+	runningSince time.Time
+	body         []byte // the endpoint list as it is handed on
+	sum          uint64
 }
 
 type edgeReport struct {
@@ -85,7 +86,6 @@
 		load:      l,
 		outliers:  outlier.NewDetector(outlier.DefaultParams),
 		reports:   map[string]edgeReport{},
-		startedAt: time.Now(),
 		zones:     newZoneExchange(),
 	}
 	n.Peer.Handle(&wire.Req_LoadReport{}, report.collect)
@@ -95,7 +95,7 @@
 // Run asks and, where this edge is the one that counts, reads, until ctx ends.
 func (report *LoadReport) Run(ctx context.Context, list List) {
 	report.mu.Lock()
-	report.discover = list
+	report.discover, report.runningSince = list, time.Now()
 	report.mu.Unlock()
 	loop.Every(ctx, report.params.Interval, nil, report.step)
 }
@@ -294,7 +294,7 @@
 	readAt := report.endpoints.Current().ReadAt
 	if readAt.IsZero() && d > report.params.ReadInterval {
 		// Nobody has had the time yet to hand on what the first edge has read.
-		readAt = report.startedAt.Add(-report.params.Stale)
+		readAt = report.runningSince.Add(-report.params.Stale)
 	}
 	if list == nil || time.Since(readAt) < d ||
 		time.Since(last) < report.params.ReadInterval/3 {
--- a/internal/platform/headers/headers_test.go
+++ b/internal/platform/headers/headers_test.go
@@ -9,6 +9,7 @@
 
 	"damsontiller/internal/dataplane/balancing/endpoints"
 	"damsontiller/internal/dataplane/request/proxy"
+	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/transport/code"
 )
 
@@ -138,6 +139,33 @@
 	}
 }
 
+// TestTenantHeaders: what a runner learns of a request's tenant is our own word, whatever the
+// caller sent, and never the credential; the key of an operation goes along.
+func TestTenantHeaders(t *testing.T) {
+	for _, c := range []struct {
+		tenant *spec.Tenant
+		want   string
+	}{
+		{nil, ""},
+		{&spec.Tenant{Name: "north"}, "north"},
+	} {
+		h := head(hAttempt, "a", hCredential, "k-secret", hTenant, "another", hOperation, "k-5512")
+		j := &proxy.Job{Attempt: "a", Tenant: c.tenant}
+		if err := (Codec{}).ReadRequest(&http.Request{Header: h}, j); err != nil || j.OperationKey != "k-5512" {
+			t.Fatalf("operation %q, %v", j.OperationKey, err)
+		}
+		Codec{}.WriteRequest(h, j, &endpoints.Runner{ID: "i-1"}, time.Second, 3)
+		if h.Get(hCredential) != "" || h.Get(hTenant) != c.want || h.Get(hOperation) != "k-5512" {
+			t.Errorf("tenant %v: sent %v", c.tenant, h)
+		}
+	}
+	h := http.Header{}
+	Codec{}.WriteRepeat(h, &proxy.Job{Attempt: "b"})
+	if h.Get(hAttempt) != "b" {
+		t.Errorf("a repeat has the head %v", h)
+	}
+}
+
 // TestReadResponse: only the runner's own report says that it did not run the job.
 func TestReadResponse(t *testing.T) {
 	for _, c := range []struct {
