Test: the list of runners takes a while to be read, as the platform's does

Cause: the mutant that lets all edges read a stale list at once survived: reading took no simulated time, so that the first reader had handed the list on before the others looked.

--- a/internal/kit/sim/loadreport_test.go
+++ b/internal/kit/sim/loadreport_test.go
@@ -66,6 +66,8 @@
 		for _, c := range cs {
 			wg.Go(func() {
 				c.t.Run(tctx, func(context.Context) ([]endpoints.Runner, error) {
+					// A list of some pages takes a while.
+					time.Sleep(50 * time.Millisecond)
 					mu.Lock()
 					defer mu.Unlock()
 					c.reads++
