--- a/internal/dataplane/balancing/loadreport/loadreport.go
+++ b/internal/dataplane/balancing/loadreport/loadreport.go
@@ -34,8 +34,10 @@
 	Expiry       time.Duration // an edge's word counts for so long
 	// SingleCollector is the largest fleet, in edges, in which one edge counts for all.
 	SingleCollector int
-	TurnInterval    time.Duration // between two edges of a zone that read a stale list themselves
-	LongestTurn     time.Duration // that an edge waits for the others
+	// KeepLoads is how long an edge that reaches no collector goes by what it was told last.
+	KeepLoads    time.Duration
+	TurnInterval time.Duration // between two edges of a zone that read a stale list themselves
+	LongestTurn  time.Duration // that an edge waits for the others
 }
 
 // DefaultParams are the design's.
@@ -46,6 +48,7 @@
 	Stale:           1900 * time.Millisecond,
 	Expiry:          time.Second,
 	SingleCollector: 96,
+	KeepLoads:       2 * time.Second,
 	TurnInterval:    300 * time.Millisecond,
 	LongestTurn:     900 * time.Millisecond,
 }
@@ -66,6 +69,8 @@
 	mu       sync.Mutex
 	reports  map[string]edgeReport // by edge
 	lastRead time.Time             // when the last own reading was asked for
+	// answeredAt is when a collector answered last; the reporting goroutine's own.
+	answeredAt time.Time
 	// runningSince is when this edge began to report: it has joined by then.
 	runningSince time.Time
 	body         []byte // the endpoint list as it is handed on
@@ -105,12 +110,13 @@
 	own := report.own(counts)
 	self := report.node.Peer.Self.Id
 	order := singleton.Order(report.node.Cluster.Now(), report.node.Lease.Members())
-	for _, m := range report.candidates(order) {
+	for i, m := range report.candidates(order) {
 		if m.Id == self {
-			report.collectHere(ctx, order, counts)
+			report.collectHere(ctx, order, counts, i == 0)
 			return
 		}
 		if report.report(ctx, m.Addr, own) {
+			report.answeredAt = time.Now()
 			report.refresh(ctx, report.params.Stale+report.turn(order))
 			return
 		}
@@ -119,8 +125,14 @@
 	report.refresh(ctx, report.params.Stale+report.turn(order))
 }
 
-// collectHere is a step of an edge that is the first that answers: it counts.
-func (report *LoadReport) collectHere(ctx context.Context, order []*wire.Member, counts map[string]outlier.Count) {
+// collectHere is a step of an edge that is the first that answers: it counts. Where it is not
+// the first of all whom it asks, and nobody reports to it, it knows less than it was told last.
+func (report *LoadReport) collectHere(
+	ctx context.Context,
+	order []*wire.Member,
+	counts map[string]outlier.Count,
+	first bool,
+) {
 	self := report.node.Peer.Self.Id
 	report.zones.add(counts)
 	report.load.Watch.Update(report.judgeOutliers(self, counts))
@@ -131,7 +143,9 @@
 			readInterval = report.params.Stale
 		}
 	}
-	report.load.UpdateRemote(report.others(self))
+	if first || report.Reporters() > 0 || time.Since(report.answeredAt) > report.params.KeepLoads {
+		report.load.UpdateRemote(report.others(self))
+	}
 	report.refresh(ctx, readInterval)
 }
 
--- a/internal/dataplane/edge/proxy.go
+++ b/internal/dataplane/edge/proxy.go
@@ -35,7 +35,12 @@
 }
 
 // DefaultProxy are the design's.
-var DefaultProxy = ProxyParams{Params: proxy.DefaultParams, LoadReport: loadreport.DefaultParams, Quota: quota.DefaultParams, Exchange: quota.DefaultExchange}
+var DefaultProxy = ProxyParams{
+	Params:     proxy.DefaultParams,
+	LoadReport: loadreport.DefaultParams,
+	Quota:      quota.DefaultParams,
+	Exchange:   quota.DefaultExchange,
+}
 
 // NewProxy joins the parts of a proxied request's way, in one fixed order. It is called before
 // Start.
@@ -100,7 +105,8 @@
 // logNoTable says so while there is no table of routes: nothing is served until then.
 func (r *Proxy) logNoTable(context.Context) {
 	if r.edge.joined.Load() && r.edge.Cluster.Now().Table.Revision == 0 {
-		r.edge.Log.Warn("no configuration is in force yet: no request is served; see the cores' logs for orders refused")
+		const line = "no configuration is in force yet: no request is served; see the cores' logs for orders refused"
+		r.edge.Log.Warn(line)
 	}
 }
 
--- a/internal/dataplane/quota/fleet_test.go
+++ b/internal/dataplane/quota/fleet_test.go
@@ -237,7 +237,7 @@
 
 // TestQuotaAlone: two nodes are cut off from all others, and a hot tenant's callers reach them.
 func TestQuotaAlone(t *testing.T) {
-	eachLimit(t, func(t *testing.T, f *modelFleet) {
+	eachLimit(t, func(_ *testing.T, f *modelFleet) {
 		f.play(6*time.Second, f.usual())
 		f.nodes[20].group, f.nodes[40].group = 1, 2
 		for range 10 {
@@ -251,7 +251,7 @@
 // TestQuotaFrozen: the collector and the busiest node freeze for 20 s and wake up into a hot
 // tenant.
 func TestQuotaFrozen(t *testing.T) {
-	eachLimit(t, func(t *testing.T, f *modelFleet) {
+	eachLimit(t, func(_ *testing.T, f *modelFleet) {
 		f.play(6*time.Second, 4*f.usual())
 		f.nodes[0].frozen, f.nodes[1].frozen = true, true
 		f.play(20*time.Second, 4*f.usual())
@@ -264,7 +264,7 @@
 // TestQuotaEnds: the collector ends with its counts in the midst of a hot spell, and one node
 // after the other does.
 func TestQuotaEnds(t *testing.T) {
-	eachLimit(t, func(t *testing.T, f *modelFleet) {
+	eachLimit(t, func(_ *testing.T, f *modelFleet) {
 		f.play(6*time.Second, 4*f.usual())
 		for i := range 6 {
 			f.nodes[i].down = true
@@ -302,7 +302,7 @@
 
 // TestQuotaJoin: nodes join while a tenant is hot, and reports are lost.
 func TestQuotaJoin(t *testing.T) {
-	eachLimit(t, func(t *testing.T, f *modelFleet) {
+	eachLimit(t, func(_ *testing.T, f *modelFleet) {
 		f.loss = 0.1
 		f.play(6*time.Second, 4*f.usual())
 		for range 8 {
@@ -336,7 +336,7 @@
 // TestQuotaOthersEnd: all nodes but the collector end within a window in which a tenant used up
 // its burst, and come back; the collector knows what their former starts have admitted.
 func TestQuotaOthersEnd(t *testing.T) {
-	eachLimit(t, func(t *testing.T, f *modelFleet) {
+	eachLimit(t, func(_ *testing.T, f *modelFleet) {
 		f.play(2500*time.Millisecond, 7.5*f.usual())
 		for _, n := range f.nodes[1:] {
 			n.down = true
--- a/internal/dataplane/request/proxy/operation.go
+++ b/internal/dataplane/request/proxy/operation.go
@@ -148,7 +148,8 @@
 		case claim.Deduplicates && operations.redirect(j, claim):
 			return next(j, w)
 		case claim.Deduplicates:
-			return Answer{Err: code.New(code.OutcomeUnknown, "the path leads no more to the service that ran the operation")}
+			const why = "the path leads no more to the service that ran the operation"
+			return Answer{Err: code.New(code.OutcomeUnknown, why)}
 		case !operations.isRunning(claim):
 			return Answer{Err: code.New(code.OutcomeUnknown, "the node that ran the operation has ended")}
 		case !j.waitForOperation():
@@ -212,7 +213,8 @@
 // redirect sends a repeat to the service that the first request went to, where that
 // deduplicates and the path still leads to it.
 func (operations *Operations) redirect(j *Job, claim operation) bool {
-	leads := slices.ContainsFunc(j.Path.To, func(s spec.Share) bool { return s.Service == claim.Service && s.Weight > 0 })
+	leadsTo := func(s spec.Share) bool { return s.Service == claim.Service && s.Weight > 0 }
+	leads := slices.ContainsFunc(j.Path.To, leadsTo)
 	if !leads {
 		return false
 	}
--- a/internal/dataplane/request/proxy/quota.go
+++ b/internal/dataplane/request/proxy/quota.go
@@ -27,7 +27,8 @@
 		return next(j, w)
 	}
 	if !quotas.waitForCounts(j) {
-		return Refuse(code.New(code.NotReady, "this node has not heard yet what others have admitted"), 200*time.Millisecond)
+		err := code.New(code.NotReady, "this node has not heard yet what others have admitted")
+		return Refuse(err, 200*time.Millisecond)
 	}
 	d := quotas.node.Admit(quota.Request{
 		Tenant:  j.Tenant.Name,
--- a/internal/platform/control/table.go
+++ b/internal/platform/control/table.go
@@ -14,7 +14,12 @@
 	"damsontiller/internal/transport/code"
 )
 
-var kinds = map[string]string{"idempotent": spec.Repeatable, "non_idempotent": spec.Once, "streaming": spec.Stream, "keyed": spec.Keyed}
+var kinds = map[string]string{
+	"idempotent":     spec.Repeatable,
+	"non_idempotent": spec.Once,
+	"streaming":      spec.Stream,
+	"keyed":          spec.Keyed,
+}
 
 // weightUnit makes integer weights of shares, which may be fractions.
 const weightUnit = 1e6
