Soak: tenants, credentials and operations, on real processes

Cause: the class of this incident is a clause of the operators' interface that nobody here played; the soak sent none of tenants, credentials and keyed routes. Change: its configurations have two tenants with quotas and a keyed route; clients carry their credential, repeat operations on the same and on new connections; runners note for whom they ran. Judged besides: an operation runs once, a repeat gets its answer, the tenant is the right one and no credential is shown, a known credential is never 401.

--- a/internal/kit/soak/client.go
+++ b/internal/kit/soak/client.go
@@ -22,6 +22,7 @@
 	turnPrefix  = "/turn/"
 	readPrefix  = "/read/"
 	orderPrefix = "/order/"
+	keyedPrefix = "/keyed/"
 )
 
 // jobKind is a kind of request.
@@ -31,9 +32,10 @@
 	readJob  jobKind = iota // may be repeated
 	orderJob                // may not
 	turnJob                 // a turn of a conversation, streamed
+	keyedJob                // all that carry one key run once
 )
 
-func (k jobKind) String() string { return [...]string{"read", "order", "turn"}[k] }
+func (k jobKind) String() string { return [...]string{"read", "order", "turn", "keyed"}[k] }
 
 // deadline is how long a client waits.
 const deadline = 6 * time.Second
@@ -54,6 +56,9 @@
 	err      error
 	want     string // the body that a runner must have got
 	follows  string // the turn before
+
+	operation string // the key of a keyed one
+	tenant    tenant
 }
 
 // client works through requests on one connection, which it uses for as long as it is open,
@@ -74,6 +79,9 @@
 	turn      string // the last turn of the conversation
 	history   string // what was said so far
 	exchanges []*exchange
+
+	operations int
+	operation  string // the key of the last operation
 }
 
 func newClient(number int, e *entry, l *ledger, random *rand.Rand) *client {
@@ -87,14 +95,27 @@
 		switch n := c.random.IntN(10); {
 		case n < 4:
 			c.keep(c.once(ctx, turnJob))
-		case n < 7:
+		case n < 6:
 			c.once(ctx, orderJob)
+		case n < 8:
+			c.operate(ctx)
 		default:
 			c.once(ctx, readJob)
 		}
 	}
 }
 
+// operate begins an operation, or sends the last one again, perhaps by way of another edge.
+func (c *client) operate(ctx context.Context) {
+	if c.operation == "" || c.random.IntN(3) > 0 {
+		c.operations++
+		c.operation = fmt.Sprintf("op%d-%d", c.number, c.operations)
+	} else if c.random.IntN(2) == 0 {
+		c.hangUp()
+	}
+	c.once(ctx, keyedJob)
+}
+
 // keep makes the conversation go on from a turn that was answered whole.
 func (c *client) keep(x *exchange) {
 	if x == nil {
@@ -125,6 +146,7 @@
 		attempt: fmt.Sprintf("t%d-%d", c.number, c.sequence),
 		edge:    c.edge,
 		reused:  c.reused,
+		tenant:  tenantOf(c.number),
 	}
 	head := c.write(x)
 	c.exchanges = append(c.exchanges, x)
@@ -147,6 +169,10 @@
 	method, path, body := http.MethodPost, orderPrefix, fmt.Sprintf("order %s\n", x.attempt)
 	more := ""
 	switch x.kind {
+	case keyedJob:
+		x.operation = c.operation
+		path, body = keyedPrefix, fmt.Sprintf("operation %s\n", x.operation)
+		more = headerOperation + ": " + x.operation + "\r\n"
 	case readJob:
 		method, path, body = http.MethodGet, readPrefix, ""
 	case turnJob:
@@ -165,6 +191,7 @@
 	if x.kind == turnJob {
 		x.want = c.history + body
 	}
+	more += headerCredential + ": " + x.tenant.credential + "\r\n"
 	return fmt.Sprintf("%s %sw%d HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%sContent-Length: %d\r\n\r\n%s",
 		method, path, c.work(), authority, headerAttempt, x.attempt, headerRemaining, deadline.Milliseconds(),
 		more, len(body), body)
--- a/internal/kit/soak/judge.go
+++ b/internal/kit/soak/judge.go
@@ -61,11 +61,22 @@
 	out := &Report{Begun: r.begun, Breaches: slices.Clone(r.operator.breaches)}
 	var all []*exchange
 	for _, client := range r.clients {
-		for _, x := range client.exchanges {
-			r.judgeExchange(out, x)
-			all = append(all, x)
+		all = append(all, client.exchanges...)
+	}
+	operations := map[string][]run{}
+	for _, x := range all {
+		if x.kind == keyedJob {
+			operations[x.operation] = append(operations[x.operation], r.ledger.of(x.attempt)...)
+		}
+	}
+	for operation, runs := range operations {
+		if len(runs) > 1 {
+			out.breach(runs[1].began, "TWICE", "operation %s ran %d times", operation, len(runs))
 		}
 	}
+	for _, x := range all {
+		r.judgeExchange(out, x, operations[x.operation])
+	}
 	for _, m := range r.fleet.ever() {
 		for _, x := range m.exits {
 			switch {
@@ -121,7 +132,8 @@
 	return fmt.Sprintf("%s %s by %s", x.kind, x.attempt, x.edge.ID)
 }
 
-func (r *Rig) judgeExchange(out *Report, x *exchange) {
+// judgeExchange judges a request; ofOperation are the runs of all requests of its operation.
+func (r *Rig) judgeExchange(out *Report, x *exchange, ofOperation []run) {
 	out.Requests++
 	runs := r.ledger.of(x.attempt)
 	out.Runs += len(runs)
@@ -129,6 +141,9 @@
 	switch {
 	case x.served():
 		out.Served++
+		if x.kind == keyedJob {
+			runs = ofOperation
+		}
 		judgeAnswer(out, x, runs)
 	case x.err != nil:
 		out.Cut++
@@ -148,6 +163,9 @@
 		if run.body != x.want {
 			out.breach(x.sent, "UNASKED", "%s ran with %q, want %q", x, run.body, x.want)
 		}
+		if run.tenant != x.tenant.name || run.secret {
+			out.breach(x.sent, "UNASKED", "%s of %s ran for %q, credential shown: %v", x, x.tenant.name, run.tenant, run.secret)
+		}
 		if (run.service == modelService) != (x.kind == turnJob) {
 			out.breach(x.sent, "ROUTE", "%s ran at %s of %s", x, run.runner, run.service)
 		}
@@ -157,11 +175,12 @@
 // judgeAnswer judges a success: it is the whole answer of a runner that ran it.
 func judgeAnswer(out *Report, x *exchange, runs []run) {
 	for _, run := range runs {
-		want := plainBody(run.runner, x.attempt)
+		// A repeat of an operation gets the answer to whichever request of it ran.
+		want := plainBody(run.runner, run.attempt)
 		if x.kind == turnJob {
 			want = streamText(x.attempt)
 		}
-		if x.seal == sealOf(run.runner, x.attempt) && x.body == want {
+		if x.seal == sealOf(run.runner, run.attempt) && x.body == want {
 			return
 		}
 	}
@@ -183,6 +202,10 @@
 		if len(runs) > 0 && x.kind != readJob {
 			out.breach(x.sent, "REFUSED", "%s ran and was answered %d: %s", x, x.status, x.body)
 		}
+	case http.StatusConflict:
+		if x.kind != keyedJob {
+			out.breach(x.sent, "DENIED", "%s: %d %s", x, x.status, x.body)
+		}
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
 		// They promise nothing. These runners never fail, but edges may not reach them.
 	case http.StatusNotFound:
--- a/internal/kit/soak/operator.go
+++ b/internal/kit/soak/operator.go
@@ -30,6 +30,7 @@
 	Retention float64 `json:"retention-s"`
 	Affinity  bool    `json:"affinity"`
 	Resumable bool    `json:"resumable"`
+	Keyless   bool    `json:"keyless"`
 }
 
 type service struct {
@@ -47,12 +48,31 @@
 }
 
 type table struct {
-	Revision uint64    `json:"revision"`
-	Routes   []route   `json:"route-table"`
-	Services []service `json:"service-table"`
-	Limits   limits    `json:"limits"`
+	Revision uint64       `json:"revision"`
+	Routes   []route      `json:"route-table"`
+	Services []service    `json:"service-table"`
+	Limits   limits       `json:"limits"`
+	Tenants  []subscriber `json:"subscribers"`
 }
 
+// subscriber is a tenant as the operator writes it.
+type subscriber struct {
+	Name        string   `json:"name"`
+	Credentials []string `json:"credentials"`
+	RatePerS    float64  `json:"rate-per-s"`
+	Burst       float64  `json:"burst-size"`
+}
+
+// tenant is one of those whose clients send requests.
+type tenant struct{ name, credential string }
+
+var tenants = []tenant{{"north", "k-north"}, {"south", "k-south"}}
+
+func tenantOf(client int) tenant { return tenants[client%len(tenants)] }
+
+// tenantRate is a quota far above what clients send: what is refused by it is a fault.
+const tenantRate = 5000
+
 type patch struct {
 	Revision uint64 `json:"revision"`
 	Upsert   struct {
@@ -116,7 +136,11 @@
 	turn := newRoute("turn", modelService, "streaming")
 	turn.Retained, turn.Retention, turn.Affinity = true, 60, true
 	order := newRoute("order", plainService, "non_idempotent")
-	t.Routes = []route{turn, order, newRoute("read", plainService, "idempotent")}
+	keyed := newRoute("keyed", plainService, "keyed")
+	t.Routes = []route{turn, order, newRoute("read", plainService, "idempotent"), keyed}
+	for _, n := range tenants {
+		t.Tenants = append(t.Tenants, subscriber{n.name, []string{n.credential}, tenantRate, tenantRate})
+	}
 	for i := range o.idleRoutes {
 		t.Routes = append(t.Routes, newRoute(fmt.Sprintf("idle%d", i), plainService, "idempotent"))
 	}
--- a/internal/kit/soak/probe.go
+++ b/internal/kit/soak/probe.go
@@ -60,6 +60,9 @@
 	if _, up := l.machine.runsSince(); !up || l.machine.disturbedSince(sent.Add(-contact)) {
 		return
 	}
+	if status == http.StatusUnauthorized {
+		o.breach("DENIED", "%s does not know a credential that every configuration has", l.machine.ID)
+	}
 	if status != http.StatusNotFound {
 		if _, ok := seen[l]; !ok || seen[l].revision < newest.revision {
 			seen[l] = sighting{newest.revision, time.Now()}
@@ -107,6 +110,7 @@
 	q.Host = authority
 	q.Header.Set(headerAttempt, fmt.Sprintf("probe-%s-%s-%d", edge.ID, name, at.UnixNano()))
 	q.Header.Set(headerRemaining, "1500")
+	q.Header.Set(headerCredential, tenants[0].credential)
 	r, err := o.web.Do(q)
 	if err != nil {
 		return 0
--- a/internal/kit/soak/runners.go
+++ b/internal/kit/soak/runners.go
@@ -33,6 +33,9 @@
 	headerTokens     = "X-Damsontiller-Token-Counts"
 	headerBase       = "X-Damsontiller-Base-Revision"
 	headerLoad       = "X-Damsontiller-Server-Load"
+	headerOperation  = "X-Damsontiller-Operation-Key"
+	headerTenant     = "X-Damsontiller-Subscriber"
+	headerCredential = "X-Api-Key"
 )
 
 // events is the length of a stream.
@@ -46,8 +49,11 @@
 // A run is what a runner saw of one attempt.
 type run struct {
 	runner  string
+	attempt string
 	service string
 	body    string
+	tenant  string // on whose behalf, as the runner was told
+	secret  bool   // the runner was shown a credential
 	began   time.Time
 	ended   time.Time // the whole answer was written; zero: it was not
 }
@@ -191,7 +197,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	job := &run{runner: r.id, service: r.service, body: string(body), began: time.Now()}
+	job := &run{
+		runner: r.id, attempt: attempt, service: r.service, body: string(body), began: time.Now(),
+		tenant: q.Header.Get(headerTenant), secret: q.Header.Get(headerCredential) != "",
+	}
 	r.ledger.begin(attempt, job)
 	w.Header().Set(headerSeal, sealOf(r.id, attempt))
 	w.Header().Set(headerLoad, fmt.Sprintf("1,0,%d", runnerSlots))
