A zone that is loaded more than the rest gives a part of its jobs to other zones

Cause: edges prefer the runners of their own zone until one is loaded a quarter above the middle. Figures are some hundred milliseconds old, so all edges of a zone that has lost runners find the same ones free, fill them, and jobs queue there for seconds while other zones have free places. Change: one policy. Where the zone's runners are over 1.15 times as loaded as all, so large a part of the jobs looks elsewhere first that the zone would be loaded as all are (proportional, as Envoy's zone-aware routing, and drawn for each job).

--- a/internal/dataplane/request/proxy/loadbalancer.go
+++ b/internal/dataplane/request/proxy/loadbalancer.go
@@ -139,8 +139,12 @@
 			return c
 		}
 	}
+	homes := []bool{true, false}
+	if !staysHome(a, cs, mean) {
+		homes = homes[1:]
+	}
 	if a.Prefix != "" {
-		for _, home := range []bool{true, false} {
+		for _, home := range homes {
 			if c := l.byPrefix(a, cs, home, bound); c != nil {
 				return c
 			}
@@ -148,7 +152,7 @@
 	}
 	if a.Key != "" {
 		// Own zone first: a prefix is not read twice, nor sent between zones.
-		for _, home := range []bool{true, false} {
+		for _, home := range homes {
 			if c := l.byAffinity(a, cs, home, affinityBound); c != nil {
 				return c
 			}
@@ -157,6 +161,28 @@
 	return l.leastLoaded(a, cs)
 }
 
+// zoneTolerance is how many times as loaded as all runners those of this node's zone may be
+// before a part of its jobs goes to other zones.
+const zoneTolerance = 1.15
+
+// staysHome reports whether a job looks for a runner in this node's zone first. Where the zone
+// is loaded more than the rest, so large a part of the jobs goes elsewhere at once that it
+// would be loaded as they are: each edge of the zone decides by figures some hundred
+// milliseconds old, and all of them would fill a runner that looks free.
+func staysHome(a Selection, cs []candidate, mean float64) bool {
+	sum, n := 0.0, 0
+	for _, c := range cs {
+		if c.runner.Zone == a.Zone {
+			sum += c.utilization
+			n++
+		}
+	}
+	if n == 0 || sum/float64(n) <= mean*zoneTolerance {
+		return true
+	}
+	return rand.Float64() < mean*float64(n)/sum
+}
+
 func (b *runnerLoad) utilization(r *endpoints.Runner, s *spec.Service) float64 {
 	f := float64(b.requests+b.remote) / float64(max(r.Capacity, 1))
 	if s.Engine != nil {
