--- a/internal/kit/soak/judge.go
+++ b/internal/kit/soak/judge.go
@@ -164,7 +164,8 @@
 			out.breach(x.sent, "UNASKED", "%s ran with %q, want %q", x, run.body, x.want)
 		}
 		if run.tenant != x.tenant.name || run.secret {
-			out.breach(x.sent, "UNASKED", "%s of %s ran for %q, credential shown: %v", x, x.tenant.name, run.tenant, run.secret)
+			const what = "%s of %s ran for %q, credential shown: %v"
+			out.breach(x.sent, "UNASKED", what, x, x.tenant.name, run.tenant, run.secret)
 		}
 		if (run.service == modelService) != (x.kind == turnJob) {
 			out.breach(x.sent, "ROUTE", "%s ran at %s of %s", x, run.runner, run.service)
