Soak: a machine that is gone for good is not started again by an earlier trouble

Change: Machine.Retire; a retired machine is not started. Result: TestRetiredMachineStaysDown (fails without the change).

--- a/internal/kit/soak/machine.go
+++ b/internal/kit/soak/machine.go
@@ -64,8 +64,10 @@
 	seeds              []string
 	initial            bool // it is of the deployment's first start
 
-	mu      sync.Mutex
-	wanted  bool // the machine is up
+	mu     sync.Mutex
+	wanted bool // the machine is up
+	// retired: it is gone for good, and is not started again.
+	retired bool
 	lives   int
 	cmd     *exec.Cmd
 	frozen  bool      // by trouble
@@ -84,13 +86,21 @@
 func (m *Machine) Start() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.wanted {
+	if m.wanted || m.retired {
 		return
 	}
 	m.wanted = true
 	m.startProcess()
 }
 
+// Retire takes the machine away for good: whoever took its power before must not start it again.
+func (m *Machine) Retire() {
+	m.mu.Lock()
+	m.retired = true
+	m.mu.Unlock()
+	m.Kill("gone for good")
+}
+
 // startProcess needs mu.
 func (m *Machine) startProcess() {
 	if !m.wanted || m.cmd != nil {
--- a/internal/kit/soak/trouble.go
+++ b/internal/kit/soak/trouble.go
@@ -167,7 +167,7 @@
 	t.rig.fleet.remove(old)
 	span := t.draw(100*time.Millisecond, 4*time.Second)
 	t.under.Go(func() {
-		old.Kill("gone for good")
+		old.Retire()
 		time.Sleep(span)
 		t.rig.fleet.add(next)
 		next.Start()
