--- a/review/tmp1/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption. It needs the build of the deploy file and build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/standin ] || exit 2
-exec timeout -k 5 115 target/standin garbage review/1/record.txt
+exec timeout -k 5 115 target/standin garbage review/2/record.txt
