--- a/review/standin/supervisor.go
+++ b/review/standin/supervisor.go
@@ -32,7 +32,9 @@
 	if at < 0 {
 		return nil
 	}
-	lines := strings.Split(strings.TrimSpace(string(text[at:])), "\n")
+	// Without the folder of the sources, which differs from machine to machine.
+	trace := strings.ReplaceAll(string(text[at:]), m.fleet.root+"/", "")
+	lines := strings.Split(strings.TrimSpace(trace), "\n")
 	return lines[:min(len(lines), maxPanicLines)]
 }
 
