Proxy: the head of a runner's answer is limited in bytes and lines

Cause: http.ReadResponse has no limit for the status line and the header lines. Provisional answers (1xx) were without a limit of number as well.

Change: headLimiter, below the buffered reader of each connection, counts the bytes and lines of a head: 32 KiB, 256 lines, 8 provisional answers. Past it the read fails: the send counts as one that may have run, the connection is closed, the runner avoided for a moment.

--- a/internal/dataplane/request/proxy/fuzz_test.go
+++ b/internal/dataplane/request/proxy/fuzz_test.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bufio"
 	"bytes"
 	"net/http"
 	"net/http/httptest"
@@ -22,7 +21,7 @@
 // readAsAnswer reads bytes as the response to attempt "a".
 func readAsAnswer(b []byte, kind string) readResult {
 	remaining := bytes.NewReader(b)
-	c := &conn{reader: bufio.NewReader(remaining)}
+	c := newConn(nil, remaining)
 	readResponse := func(r *http.Response) ResponseInfo {
 		return ResponseInfo{
 			Attempt: r.Header.Get("Try"),
--- a/internal/dataplane/request/proxy/pool.go
+++ b/internal/dataplane/request/proxy/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -43,11 +44,21 @@
 
 type conn struct {
 	netConn   net.Conn
+	heads     *headLimiter // below reader
 	reader    *bufio.Reader
 	idleUntil time.Time // must not be reused after this time
 	unused    bool      // no response has been received on it yet
 }
 
+// readBufferBytes is the size of a connection's read buffer.
+const readBufferBytes = 4 << 10
+
+// newConn returns an unused connection whose responses are read from source.
+func newConn(netConn net.Conn, source io.Reader) *conn {
+	heads := &headLimiter{source: source}
+	return &conn{netConn: netConn, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes), unused: true}
+}
+
 // dialError is the error of a failed dial: nothing was sent.
 type dialError struct{ err error }
 
@@ -78,7 +89,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{netConn: netConn, reader: bufio.NewReaderSize(netConn, 4096), unused: true}, nil
+	return newConn(netConn, netConn), nil
 }
 
 func (p *Pool) popIdle(key string) *conn {
--- a/internal/dataplane/request/proxy/proxy_test.go
+++ b/internal/dataplane/request/proxy/proxy_test.go
@@ -356,7 +356,7 @@
 		{"nothing of the kind\r\n\r\n", false, false},
 		{"", false, false},
 	} {
-		c := &conn{reader: bufio.NewReader(strings.NewReader(tc.in))}
+		c := newConn(nil, strings.NewReader(tc.in))
 		r, err := c.readAnswer(
 			&http.Request{Method: "GET"},
 			"a",
--- a/internal/dataplane/request/proxy/reply.go
+++ b/internal/dataplane/request/proxy/reply.go
@@ -56,7 +56,12 @@
 
 // readFinalResponse reads the head of the next response that is not provisional.
 func (c *conn) readFinalResponse(req *http.Request) (*http.Response, error) {
-	for {
+	for provisional := 0; provisional <= maxProvisionalResponses; provisional++ {
+		buffered, err := c.reader.Peek(c.reader.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		c.heads.begin(buffered)
 		response, err := http.ReadResponse(c.reader, req)
 		switch {
 		case err != nil:
@@ -68,4 +73,5 @@
 			return response, nil
 		}
 	}
+	return nil, errTooManyProvisional
 }
