Proxy: answers of ours no longer quote the bytes of a spoiled answer

What callers saw: a 502 or 504 whose problem text held what the runner had sent, quoted, such as a line of another caller's answer; of an endless line all of it, megabytes.

Cause: errors of net/http about a head, a trailer or a length quote the text, and the proxy put the error's text into its own answer.

Change: what went wrong with a response is told by a fixed text for anything but a network error, an end of the connection or an error of ours.

--- a/internal/dataplane/request/proxy/verdict.go
+++ b/internal/dataplane/request/proxy/verdict.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -86,5 +88,31 @@
 	if x.job.TimeLeft() <= 0 {
 		failure = code.TimedOut
 	}
-	return attemptResult{sent: true, err: code.New(failure, "runner %s: %w", x.runner.ID, err)}
+	return attemptResult{sent: true, err: code.New(failure, "runner %s: %w", x.runner.ID, withoutContent(err))}
+}
+
+// errMalformed replaces the errors of net/http about bytes that are no response.
+var errMalformed = errors.New("bytes that are no answer")
+
+// withoutContent returns what went wrong with a response, without any of its bytes. The errors of
+// net/http quote what they could not parse, which may belong to another caller.
+func withoutContent(err error) error {
+	var netErr net.Error
+	if errors.As(err, &netErr) || code.Of(err) != code.Unknown {
+		return err
+	}
+	for _, reason := range []error{
+		errOtherJob,
+		errNoAttempt,
+		errBadStatus,
+		errHeadTooLong,
+		errTooManyProvisional,
+		io.EOF,
+		io.ErrUnexpectedEOF,
+	} {
+		if errors.Is(err, reason) {
+			return reason
+		}
+	}
+	return errMalformed
 }
--- a/internal/kit/proxytest/endless_test.go
+++ b/internal/kit/proxytest/endless_test.go
@@ -106,3 +106,48 @@
 		}
 	})
 }
+
+// TestSpoiledBytesNotShown guards against answers of ours that quote what a runner sent: the bytes
+// of a spoiled answer belong to no request.
+func TestSpoiledBytesNotShown(t *testing.T) {
+	const secret = "another-callers-secret"
+	sealed := func(run proxytest.Run) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", names.Try, run.Try, names.Seal, run.Seal)
+	}
+	for name, spoiled := range map[string]func(proxytest.Run) string{
+		"status line": func(proxytest.Run) string { return secret + "\r\n\r\n" },
+		"status":      func(proxytest.Run) string { return "HTTP/1.1 " + secret + "\r\n\r\n" },
+		"version":     func(proxytest.Run) string { return "HTTP/" + secret + " 200 OK\r\n\r\n" },
+		"header line": func(run proxytest.Run) string { return sealed(run) + secret + "\r\n\r\n" },
+		"length":      func(run proxytest.Run) string { return sealed(run) + "Content-Length: " + secret + "\r\n\r\n" },
+		"encoding":    func(run proxytest.Run) string { return sealed(run) + "Transfer-Encoding: " + secret + "\r\n\r\n" },
+		"chunk": func(run proxytest.Run) string {
+			return sealed(run) + "Transfer-Encoding: chunked\r\n\r\n" + secret + "\r\n"
+		},
+		"trailer": func(run proxytest.Run) string {
+			return sealed(run) + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + secret + "\r\n\r\n"
+		},
+		"answer to another job": func(proxytest.Run) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n%s\r\n\r\n",
+				names.Try, secret)
+		},
+	} {
+		for _, kind := range []string{repeatable, once, stream, keyed} {
+			t.Run(name+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := newRig(t, farm(1, func(p *proxytest.Params) {
+						p.Answer = func(w io.Writer, _ *http.Request, run proxytest.Run) bool {
+							_, err := io.WriteString(w, spoiled(run))
+							return err == nil
+						}
+					}))
+					defer r.stop()
+					x := r.ask(kind, "")
+					if x.status != http.StatusBadGateway && !x.truncated || strings.Contains(x.body, secret) {
+						t.Errorf("status %d, cut %v, %s", x.status, x.truncated, x.body)
+					}
+				})
+			})
+		}
+	}
+}
