Proxy: all that is buffered for requests shares one budget of memory

What could happen: each buffer had a limit of its own or none, and nothing bounded their sum.

Change: package membudget. One budget a process, an account a job; what grows takes from it first. Past it a caller is refused before anything was sent (new code 215 memory_full, 503 with Retry-After); an answer that can't be held is passed on as it arrives; an event, a head or a turn that can't be held ends as one that may have run. Besides: 2 MiB a stored turn's output, 4 MiB and 1,024 turns a conversation (413), 16 turns of one fetched at once, 256 bytes an event's id, 1,024 idle connections to runners in all.

--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -37,6 +37,7 @@
 	"damsontiller/internal/proto/wire"
 	"damsontiller/internal/transport/code"
 	"damsontiller/internal/transport/loop"
+	"damsontiller/internal/transport/membudget"
 )
 
 // Params are the edge's settings.
@@ -53,6 +54,9 @@
 	LateWriteTimeout time.Duration // timeout of writes that follow a missed deadline
 	OpenTimeout      time.Duration // time until ingress opens even with too few slots
 	RecordedJobs     int           // capacity of the recorder and of the trace journal
+	// Memory is the budget for what is buffered of proxied requests and their answers; nil means
+	// no limit.
+	Memory *membudget.Budget
 	// ProxyOnly disables the background tasks of named turns and calls: no slots are
 	// requested or assigned, and the spec's runners are not polled.
 	ProxyOnly bool
--- a/internal/dataplane/edge/proxy.go
+++ b/internal/dataplane/edge/proxy.go
@@ -66,6 +66,7 @@
 			Cooldowns: e.Cooldowns,
 			Headers:   headers,
 			Log:       e.Log.Named("proxy"),
+			Memory:    e.params.Memory,
 			Policies: []proxy.Policy{
 				proxy.NewQuotas(r.quotas, params.Quota),
 				proxy.NewOperations(params.Operations, e.stores, e.Lease.Members, e.Params.Self, headers, e.background),
@@ -96,6 +97,19 @@
 		}
 		out = append(out, row)
 	}
+	usage := r.edge.params.Memory.Usage()
+	out = append(
+		out,
+		metrics.Sample{Name: "buffered_bytes", Help: "Memory of buffered requests and answers.", Value: float64(usage.Held)},
+		metrics.Sample{Name: "buffered_bytes_highest", Help: "Its highest value.", Value: float64(usage.Highest)},
+		metrics.Sample{Name: "buffered_bytes_limit", Help: "Its limit.", Value: float64(usage.Limit)},
+		metrics.Sample{
+			Name:    "buffered_refused_total",
+			Help:    "Times that something could not be buffered.",
+			Value:   float64(usage.Refused),
+			Counter: true,
+		},
+	)
 	for tenant, state := range r.quotas.States() {
 		if state.Constrained {
 			const help = "Requests of a tenant near its quota that all edges admitted in a window, as merged here."
--- a/internal/dataplane/request/proxy/conversation.go
+++ b/internal/dataplane/request/proxy/conversation.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"container/list"
 	"context"
 	"sync"
@@ -12,6 +11,7 @@
 	"damsontiller/internal/proto/wire"
 	"damsontiller/internal/transport/code"
 	"damsontiller/internal/transport/loop"
+	"damsontiller/internal/transport/membudget"
 )
 
 // TurnParams are the timeouts and limits of stored turns.
@@ -22,6 +22,8 @@
 	// seldom have to renew it.
 	ExtraRetention time.Duration
 	CacheBytes     int // size limit of this node's cache of turns
+	// MaxBytes and MaxTurns limit a conversation with its newest input.
+	MaxBytes, MaxTurns int
 }
 
 // DefaultTurns are the default parameters of stored turns.
@@ -30,8 +32,13 @@
 	LateWriteTimeout: time.Second,
 	ExtraRetention:   4 * time.Minute,
 	CacheBytes:       8 << 20,
+	MaxBytes:         4 << 20,
+	MaxTurns:         1024,
 }
 
+// maxConcurrentFetches limits the turns of one conversation that are fetched at once.
+const maxConcurrentFetches = 16
+
 // Turns stores conversations as deltas: each turn holds its own input and output and the ids of all
 // turns before it. A turn is written to a majority of its stores before its response ends.
 type Turns struct {
@@ -120,14 +127,18 @@
 
 // fetchChain fetches the turn that a job continues and all turns before it, oldest first. It
 // returns NoTurn only if a majority of the stores has no such turn.
-func (turns *Turns) fetchChain(ctx context.Context, tenant, id string) ([]*turn, error) {
+func (turns *Turns) fetchChain(ctx context.Context, tenant, id string, memory *membudget.Account) ([]*turn, error) {
 	latest, err := turns.fetch(ctx, tenant, id)
 	if err != nil {
 		return nil, err
 	}
+	if n := len(latest.Before) + 1; n >= turns.params.MaxTurns {
+		return nil, code.New(code.TooLarge, "the conversation has %d turns, limit %d", n, turns.params.MaxTurns)
+	}
 	chain := make([]*turn, len(latest.Before)+1)
 	chain[len(latest.Before)] = latest
 	errs := make(chan error, len(latest.Before))
+	fetching := make(chan struct{}, maxConcurrentFetches)
 	for i, id := range latest.Before {
 		if t := turns.lookup(keys.ProxyTurn(tenant, id)); t != nil {
 			chain[i] = t
@@ -135,7 +146,12 @@
 			continue
 		}
 		go func() {
+			fetching <- struct{}{}
+			defer func() { <-fetching }()
 			t, err := turns.fetch(ctx, tenant, id)
+			if err == nil {
+				err = memory.Grow(int64(t.size()))
+			}
 			chain[i] = t
 			errs <- err
 		}()
@@ -145,6 +161,9 @@
 			err = fetchErr
 		}
 	}
+	if code.Of(err) == code.MemoryFull {
+		return nil, err
+	}
 	if err != nil {
 		// The latest turn exists, so its predecessors must exist too: not finding one does not
 		// prove that it was deleted.
@@ -208,6 +227,26 @@
 	return nil
 }
 
+// prompt returns the whole conversation with its newest input, in memory of the job.
+func (turns *Turns) prompt(j *Job, chain []*turn, input []byte) ([]byte, error) {
+	size := len(input)
+	for _, t := range chain {
+		size += len(t.In) + len(t.Out)
+	}
+	if size > turns.params.MaxBytes {
+		return nil, code.New(code.TooLarge, "the conversation has %d bytes, limit %d", size, turns.params.MaxBytes)
+	}
+	if err := j.memory.Grow(int64(size)); err != nil {
+		return nil, err
+	}
+	prompt := make([]byte, 0, size)
+	for _, t := range chain {
+		prompt = append(prompt, t.In...)
+		prompt = append(prompt, t.Out...)
+	}
+	return append(prompt, input...), nil
+}
+
 // Do sends the runner the entire conversation, and ends the response only after the turn is stored.
 func (turns *Turns) Do(j *Job, response *Response, next Next) Answer {
 	if !j.Path.Kept {
@@ -218,20 +257,16 @@
 	if j.PreviousAttempt != "" {
 		ctx, stop := context.WithTimeout(j, min(turns.params.ReadTimeout, j.TimeLeft()))
 		err := retryAtStores(ctx, func() (err error) {
-			chain, err = turns.fetchChain(ctx, j.TenantName(), j.PreviousAttempt)
+			chain, err = turns.fetchChain(ctx, j.TenantName(), j.PreviousAttempt, j.memory)
 			return err
 		})
 		stop()
 		if err != nil {
 			return Refuse(err, turnsRetryAfter)
 		}
-		var prompt bytes.Buffer
-		for _, t := range chain {
-			prompt.Write(t.In)
-			prompt.Write(t.Out)
+		if j.Body, err = turns.prompt(j, chain, input); err != nil {
+			return Refuse(err, turnsRetryAfter)
 		}
-		prompt.Write(input)
-		j.Body = prompt.Bytes()
 	}
 	response.Collect()
 	answer := next(j, response)
--- a/internal/dataplane/request/proxy/handler.go
+++ b/internal/dataplane/request/proxy/handler.go
@@ -23,6 +23,7 @@
 	"damsontiller/internal/proto/wire"
 	"damsontiller/internal/transport/code"
 	"damsontiller/internal/transport/loop"
+	"damsontiller/internal/transport/membudget"
 )
 
 func formatInt(n int64) string { return strconv.FormatInt(n, 10) }
@@ -71,7 +72,8 @@
 	Cooldowns *cooldown.Manager
 	Headers   Headers
 	Log       hclog.Logger
-	Policies  []Policy // applied before the send, outermost first
+	Memory    *membudget.Budget // for all that is buffered for jobs; nil: without a limit
+	Policies  []Policy          // applied before the send, outermost first
 }
 
 // Handler serves proxied requests.
@@ -139,7 +141,9 @@
 // ServeHTTP serves one job.
 func (handler *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &Job{Context: r.Context(), Arrived: time.Now(), View: handler.deps.View(), Req: r}
-	response := &Response{w: w}
+	j.memory = handler.deps.Memory.Account()
+	defer j.memory.Close()
+	response := &Response{w: w, memory: j.memory}
 	caller := http.NewResponseController(w)
 	// Bounds the time spent on a caller that does not read. The deadline stays in force for what
 	// the server still writes; the next request on the connection sets its own.
@@ -226,6 +230,9 @@
 	caller := http.NewResponseController(response.w)
 	_ = caller.SetWriteDeadline(j.ResponseDeadline.Add(callerReadGrace))
 	content, err := readBodyWithDeadline(caller, j, maxBody)
+	if code.Of(err) == code.MemoryFull {
+		return Refuse(err, defaultRetryAfter)
+	}
 	if err != nil {
 		return Answer{Err: err}
 	}
@@ -263,28 +270,28 @@
 		return nil, nil
 	}
 	_ = caller.SetReadDeadline(j.ResponseDeadline.Add(callerReadGrace))
-	content, err := readBody(j.Req, maxBytes)
+	content, err := readBody(j.Req, maxBytes, j.memory)
 	if err == nil {
 		_ = caller.SetReadDeadline(time.Time{})
 	}
 	return content, err
 }
 
-// readBody reads a request body up to a size limit.
-func readBody(r *http.Request, maxBytes int64) ([]byte, error) {
+// maxTrustedLength is the largest announced length for which memory is allocated before the bytes
+// arrive.
+const maxTrustedLength = 64 << 10
+
+// readBody reads a request body up to a size limit, into memory of the account.
+func readBody(r *http.Request, maxBytes int64, memory *membudget.Account) ([]byte, error) {
 	if r.ContentLength > maxBytes {
 		return nil, code.New(code.TooLarge, "more than %d bytes", maxBytes)
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	var content []byte
-	var err error
-	if r.ContentLength > 0 {
-		content = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, content)
-	} else {
-		content, err = io.ReadAll(io.LimitReader(r.Body, maxBytes+1))
+	content, err := readContent(r, maxBytes, memory)
+	if code.Of(err) == code.MemoryFull {
+		return nil, err
 	}
 	if isTimeout(err) {
 		return nil, code.New(code.BodyLost, "body did not come in time: %w", err)
@@ -298,6 +305,22 @@
 	return content, nil
 }
 
+// readContent reads a body that is not empty.
+func readContent(r *http.Request, maxBytes int64, memory *membudget.Account) ([]byte, error) {
+	switch {
+	case r.ContentLength < 0:
+		return memory.ReadUpTo(r.Body, maxBytes+1)
+	case r.ContentLength > maxTrustedLength:
+		return memory.ReadUpTo(r.Body, r.ContentLength)
+	}
+	if err := memory.Grow(r.ContentLength); err != nil {
+		return nil, err
+	}
+	content := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, content)
+	return content, err
+}
+
 // routingHash selects one of a path's services for a job. It is the same for all jobs of a program,
 // so that the program keeps using the caches of the same service.
 func (j *Job) routingHash() uint64 {
--- a/internal/dataplane/request/proxy/head.go
+++ b/internal/dataplane/request/proxy/head.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"damsontiller/internal/transport/membudget"
 )
 
 // Limits of the head of a runner's response. Heads of healthy runners have a few hundred bytes.
@@ -28,8 +30,12 @@
 	bytesLeft int
 	linesLeft int
 	err       error
+	memory    *membudget.Account // for heads larger than the read buffer; nil: without a limit
 }
 
+// headMemoryFactor is the memory of a parsed head, in multiples of its bytes.
+const headMemoryFactor = 2
+
 // begin starts a new head, of which the given bytes have already been read from the source.
 func (limiter *headLimiter) begin(buffered []byte) {
 	limiter.inHead, limiter.lineEmpty = true, true
@@ -54,7 +60,8 @@
 func (limiter *headLimiter) scan(b []byte) {
 	for limiter.inHead && len(b) > 0 {
 		line, rest, terminated := bytes.Cut(b, []byte("\n"))
-		limiter.bytesLeft -= len(b) - len(rest)
+		taken := len(b) - len(rest)
+		limiter.bytesLeft -= taken
 		if terminated {
 			limiter.linesLeft--
 		}
@@ -62,6 +69,11 @@
 			limiter.err = errHeadTooLong
 			return
 		}
+		if maxHeadBytes-limiter.bytesLeft > readBufferBytes &&
+			limiter.memory.Grow(headMemoryFactor*int64(taken)) != nil {
+			limiter.err = errNoMemory
+			return
+		}
 		limiter.lineEmpty = limiter.lineEmpty && len(bytes.TrimRight(line, "\r")) == 0
 		if terminated {
 			limiter.inHead, limiter.lineEmpty = !limiter.lineEmpty, true
--- a/internal/dataplane/request/proxy/job.go
+++ b/internal/dataplane/request/proxy/job.go
@@ -11,6 +11,7 @@
 	"damsontiller/internal/coordination/cluster"
 	"damsontiller/internal/dataplane/balancing/endpoints"
 	"damsontiller/internal/proto/spec"
+	"damsontiller/internal/transport/membudget"
 )
 
 // MaxName limits the bytes of attempt and program names. They become keys at the stores, and a turn
@@ -57,6 +58,8 @@
 	Service          *spec.Service
 	Req              *http.Request
 	Body             []byte // read in full
+	// memory holds what is buffered for the job; nil: without a limit.
+	memory *membudget.Account
 }
 
 // TimeLeft returns the time until the job's deadline.
--- a/internal/dataplane/request/proxy/pool.go
+++ b/internal/dataplane/request/proxy/pool.go
@@ -24,18 +24,20 @@
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by runner id and address; the most recently used last
+	count  int                // of idle connections
 	opened uint64
 }
 
 // PoolParams are the limits and timeouts of a Pool.
 type PoolParams struct {
 	MaxIdle     int           // idle connections kept per runner
+	MaxIdleAll  int           // idle connections kept in total
 	IdleTimeout time.Duration // how long an idle connection is kept if the runner does not state a timeout
 	DialTimeout time.Duration
 }
 
 // DefaultPool are the default parameters, for runners in one metropolitan area.
-var DefaultPool = PoolParams{MaxIdle: 24, IdleTimeout: 20 * time.Second, DialTimeout: time.Second}
+var DefaultPool = PoolParams{MaxIdle: 24, MaxIdleAll: 1024, IdleTimeout: 20 * time.Second, DialTimeout: time.Second}
 
 // NewPool returns a Pool that opens connections with dial.
 func NewPool(params PoolParams, dial func(ctx context.Context, addr string) (net.Conn, error)) *Pool {
@@ -101,6 +103,7 @@
 	}
 	c := idle[len(idle)-1]
 	p.idle[key] = idle[:len(idle)-1]
+	p.count--
 	return c
 }
 
@@ -113,9 +116,10 @@
 	c.idleUntil, c.unused = time.Now().Add(idleTime), false
 	p.mu.Lock()
 	idle := p.idle[poolKey(r)]
-	full := len(idle) >= p.params.MaxIdle
+	full := len(idle) >= p.params.MaxIdle || p.count >= p.params.MaxIdleAll
 	if !full {
 		p.idle[poolKey(r)] = append(idle, c)
+		p.count++
 	}
 	p.mu.Unlock()
 	if full {
@@ -138,6 +142,7 @@
 				closing = append(closing, c)
 			}
 		}
+		p.count -= len(idle) - len(kept)
 		if p.idle[key] = kept; len(kept) == 0 {
 			delete(p.idle, key)
 		}
--- a/internal/dataplane/request/proxy/proxy_test.go
+++ b/internal/dataplane/request/proxy/proxy_test.go
@@ -701,7 +701,7 @@
 		{-1, "abcdef", code.TooLarge},
 		{5, "abc", code.BadJSON},
 	} {
-		b, err := readBody(&http.Request{ContentLength: tc.length, Body: io.NopCloser(strings.NewReader(tc.in))}, 5)
+		b, err := readBody(&http.Request{ContentLength: tc.length, Body: io.NopCloser(strings.NewReader(tc.in))}, 5, nil)
 		if code.Of(err) != tc.want || err == nil && string(b) != tc.in {
 			t.Errorf("%d %q: %q, %v", tc.length, tc.in, b, err)
 		}
--- a/internal/dataplane/request/proxy/response.go
+++ b/internal/dataplane/request/proxy/response.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"damsontiller/internal/transport/code"
+	"damsontiller/internal/transport/membudget"
 )
 
 // Answer is the result of a job.
@@ -53,7 +54,8 @@
 	w              http.ResponseWriter
 	headSent       bool
 	collect        bool
-	data           bytes.Buffer
+	data           []byte
+	memory         *membudget.Account // for what is buffered; nil: without a limit
 	events         int
 	runner         string    // the runner whose response is forwarded
 	onFirstEvent   func()    // called at the first event
@@ -86,7 +88,46 @@
 func (response *Response) Collect() { response.collect = true }
 
 // Text returns the event data kept since Collect.
-func (response *Response) Text() []byte { return response.data.Bytes() }
+func (response *Response) Text() []byte { return response.data }
+
+// Limits of what is kept of a stream.
+const (
+	// maxTurnBytes limits the event data of a turn that is stored.
+	maxTurnBytes = 2 << 20
+	// maxEventIDBytes limits the ids with which a stream can be resumed.
+	maxEventIDBytes = 256
+)
+
+// Reasons why a runner's response can't be forwarded to its end.
+var (
+	errNoMemory    = errors.New("the answer can't be buffered now")
+	errTurnTooLong = errors.New("a turn that is too long to be stored")
+)
+
+// appendBuffered appends to a buffer that grows in the memory of the job.
+func (response *Response) appendBuffered(buffer, more []byte) ([]byte, error) {
+	if needed := len(buffer) + len(more); needed > cap(buffer) {
+		size := max(needed, 2*cap(buffer))
+		if err := response.memory.Grow(int64(size - cap(buffer))); err != nil {
+			return buffer, errNoMemory
+		}
+		buffer = append(make([]byte, 0, size), buffer...)
+	}
+	return append(buffer, more...), nil
+}
+
+// collectData keeps a line of an event's data.
+func (response *Response) collectData(value []byte) error {
+	if len(response.data)+len(value) >= maxTurnBytes {
+		return errTurnTooLong
+	}
+	var err error
+	if response.data, err = response.appendBuffered(response.data, value); err != nil {
+		return err
+	}
+	response.data, err = response.appendBuffered(response.data, []byte("\n"))
+	return err
+}
 
 // hopByHopHeaders apply to a single connection.
 var hopByHopHeaders = map[string]bool{
@@ -149,10 +190,13 @@
 	var event []byte
 	for {
 		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
+		if len(event)+len(line) > maxEventBytes {
 			return code.New(code.Incomplete, "an event over %d bytes", maxEventBytes)
 		}
+		var memoryErr error
+		if event, memoryErr = response.appendBuffered(event, line); memoryErr != nil {
+			return memoryErr
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -168,7 +212,11 @@
 		if complete || err != nil && len(event) > 0 {
 			// Counted before the write: the caller may receive everything even if the write fails.
 			if response.bodySent = true; complete {
-				response.recordEvent(event)
+				if err := response.recordEvent(event); err != nil {
+					// The event is not forwarded, so no run may go on after it.
+					response.lastEventID = ""
+					return err
+				}
 			}
 			if _, writeErr := response.w.Write(event); writeErr != nil {
 				return errCallerDisconnected
@@ -192,21 +240,23 @@
 func isBlankLine(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
 
 // recordEvent records an event's id and, after Collect, its data.
-func (response *Response) recordEvent(event []byte) {
+func (response *Response) recordEvent(event []byte) error {
 	hasData, hasID := false, false
 	for line := range bytes.Lines(event) {
 		field, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(field) {
 		case "id":
-			response.lastEventID, hasID = string(value), true
-			if response.resumable {
-				response.resumption.recordID(response.lastEventID)
+			response.lastEventID, hasID = "", true
+			if len(value) <= maxEventIDBytes &&
+				(!response.resumable || response.resumption.recordID(string(value), response.memory)) {
+				response.lastEventID = string(value)
 			}
 		case "data":
 			if response.collect {
-				response.data.Write(value)
-				response.data.WriteByte('\n')
+				if err := response.collectData(value); err != nil {
+					return err
+				}
 			}
 			hasData = true
 		}
@@ -220,6 +270,7 @@
 			response.lastEventID = ""
 		}
 	}
+	return nil
 }
 
 // maxBufferedBytes is how much of a response is buffered to prove that it is complete before its
@@ -227,13 +278,23 @@
 // response is cut off.
 const maxBufferedBytes = 256 << 10
 
+// recordFactor is the memory for encoding the record of a response, in multiples of its body.
+const recordFactor = 3
+
 // forwardWhole forwards a response that is not a stream.
 func (response *Response) forwardWhole(r *http.Response) error {
-	content, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes))
-	if err != nil {
+	content, err := response.memory.ReadUpTo(r.Body, maxBufferedBytes)
+	// Without memory to prove that it is complete, a response is forwarded as it arrives.
+	memoryFull := code.Of(err) == code.MemoryFull
+	if err != nil && !memoryFull {
 		return err
 	}
-	if len(content) < maxBufferedBytes || r.ContentLength == int64(len(content)) {
+	complete := len(content) < maxBufferedBytes || r.ContentLength == int64(len(content))
+	if !memoryFull && response.beforeComplete != nil {
+		// The record of the response is encoded in memory as well.
+		memoryFull = response.memory.Grow(recordFactor*int64(len(content))) != nil
+	}
+	if complete && !memoryFull {
 		if response.beforeComplete != nil {
 			response.beforeComplete(r, content)
 		}
--- a/internal/dataplane/request/proxy/resumption.go
+++ b/internal/dataplane/request/proxy/resumption.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"damsontiller/internal/transport/membudget"
 )
 
 // resumption drops events of a resumed stream that the caller has already received, whether or not
@@ -38,15 +40,23 @@
 	return false
 }
 
-// recordID records an event that was forwarded to the caller.
-func (r *resumption) recordID(id string) {
+// idOverheadBytes estimates the memory of a recorded id in addition to its bytes.
+const idOverheadBytes = 64
+
+// recordID records an event that was forwarded to the caller, in memory of the account. It reports
+// whether there was enough.
+func (r *resumption) recordID(id string, memory *membudget.Account) bool {
 	if _, err := strconv.ParseUint(id, 10, 64); err == nil || len(r.seen) >= maxNonNumericIDs {
-		return
+		return true
+	}
+	if memory.Grow(int64(len(id))+idOverheadBytes) != nil {
+		return false
 	}
 	if r.seen == nil {
 		r.seen = map[string]bool{}
 	}
 	r.seen[id] = true
+	return true
 }
 
 // precedes reports whether an id is a number below another one.
--- a/internal/dataplane/request/proxy/send.go
+++ b/internal/dataplane/request/proxy/send.go
@@ -65,6 +65,7 @@
 	if x.conn, err = handler.deps.Pool.get(ctx, runner, false); err != nil {
 		return x.dialFailed(ctx, err)
 	}
+	x.conn.heads.memory = j.memory
 	x.watch(ctx)
 	defer x.release()
 	return x.roundTrip()
@@ -99,6 +100,7 @@
 
 // release returns the connection to the pool after a clean end, and closes it otherwise.
 func (x *exchange) release() {
+	x.conn.heads.memory = nil
 	if !x.stopWatching() || x.idleTime <= 0 {
 		x.conn.netConn.Close()
 		return
--- a/internal/dataplane/request/proxy/verdict.go
+++ b/internal/dataplane/request/proxy/verdict.go
@@ -72,7 +72,7 @@
 // incompleteResult handles a send without a complete response: the job may have run.
 func (x *exchange) incompleteResult(err error) attemptResult {
 	load := x.handler.deps.Load
-	disconnected := x.job.Err() == nil && !isTimeout(err)
+	disconnected := x.job.Err() == nil && !isTimeout(err) && !errors.Is(err, errNoMemory)
 	if disconnected || x.hung() {
 		// Receiving nothing for very long indicates that the runner hangs.
 		load.Watch.Failure(x.runner.ID)
@@ -107,6 +107,8 @@
 		errBadStatus,
 		errHeadTooLong,
 		errTooManyProvisional,
+		errNoMemory,
+		errTurnTooLong,
 		io.EOF,
 		io.ErrUnexpectedEOF,
 	} {
--- a/internal/kit/proxytest/harness_test.go
+++ b/internal/kit/proxytest/harness_test.go
@@ -31,6 +31,7 @@
 	"damsontiller/internal/transport"
 	"damsontiller/internal/transport/code"
 	"damsontiller/internal/transport/fixed"
+	"damsontiller/internal/transport/membudget"
 	"damsontiller/internal/transport/memnet"
 )
 
@@ -190,6 +191,17 @@
 
 // newRigOf is newRig with a pool of its own size.
 func newRigOf(t testing.TB, pool proxy.PoolParams, bs []*proxytest.Backend, way ...proxy.Policy) *rig {
+	return newRigWith(t, pool, nil, bs, way...)
+}
+
+// newRigWith is newRigOf with a budget of memory.
+func newRigWith(
+	t testing.TB,
+	pool proxy.PoolParams,
+	memory *membudget.Budget,
+	bs []*proxytest.Backend,
+	way ...proxy.Policy,
+) *rig {
 	n := alone("e1")
 	r := &rig{
 		t:         t,
@@ -226,6 +238,7 @@
 			Cooldowns: cooldown.New(cooldown.Params{Local: true}, n, nil),
 			Headers:   dialect{},
 			Log:       hclog.NewNullLogger(),
+			Memory:    memory,
 			Policies:  way,
 		},
 	)
--- a/internal/transport/code/code.go
+++ b/internal/transport/code/code.go
@@ -47,6 +47,7 @@
 	Overtaken         Code = 212
 	TooLong           Code = 213
 	OverQuota         Code = 214
+	MemoryFull        Code = 215
 
 	OutcomeUnknown Code = 301
 	InProgress     Code = 302
@@ -141,6 +142,7 @@
 	{Overtaken, "overtaken", 503, "no"},
 	{TooLong, "too_long", 503, "no"},
 	{OverQuota, "over_quota", 429, "no"},
+	{MemoryFull, "memory_full", 503, "no"},
 	{OutcomeUnknown, "outcome_unknown", 502, "unknown"},
 	{InProgress, "in_progress", 409, "unknown"},
 	{Incomplete, "not_whole", 502, "unknown"},
