Callers: connections and the heads of their requests are bounded in sum

What could happen: net/http limits the head of one request (128 KiB), not those of all connections; 4,100 descriptors of such heads are over 500 MB, and many short header lines take some 25 times their bytes. Idle connections alone cost some 24 KiB each.

Change: connections of callers take at most a sixth of the memory at 24 KiB each, and half of the descriptors; a new one takes the place of the one that was idle for longest, else it is closed unread, which callers may repeat. Heads beyond 4 KiB are counted, by bytes and lines, in the budget of the process; past it their connection ends unread. The budget is an eighth of memory-mb. The servers of probes and status take 128 connections. The settings file is read up to 1 MiB.

--- a/cmd/damsontiller-data/platform.go
+++ b/cmd/damsontiller-data/platform.go
@@ -14,6 +14,7 @@
 	"damsontiller/internal/platform/headers"
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/transport/code"
+	"damsontiller/internal/transport/membudget"
 )
 
 // onPlatform serves in a role with the settings of the platform.
@@ -52,6 +53,8 @@
 	defer cancel()
 	params := edge.DefaultParams
 	params.ProxyOnly = true
+	memory := membudget.New(settings.MemoryBudget())
+	params.Memory = memory
 	node := edge.New(ctx, params, process.Node("edge", "", log))
 	proxyParams := edge.DefaultProxy
 	proxyParams.Quota = settings.Quota()
@@ -62,6 +65,9 @@
 		Open:    opener,
 		Handler: handler,
 		Limits:  func() spec.Limits { return node.Cluster.Now().Table.Limits },
+		Memory:  memory,
+		// The platform's clients reconnect, also after an idle connection was closed.
+		MaxConnections: settings.MaxConnections(),
 	}
 	ready := func() error {
 		if stopSignal.Err() != nil {
--- a/internal/platform/params.go
+++ b/internal/platform/params.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -41,6 +43,8 @@
 	Limits struct {
 		MemoryMB float64 `toml:"memory-mb"`
 		DiskMB   float64 `toml:"disk-mb"`
+		// Descriptors is the number of file descriptors of the process.
+		Descriptors float64 `toml:"file-descriptors"`
 	} `toml:"limits"`
 	Tolerance struct {
 		Machines int `toml:"machines"`
@@ -73,13 +77,29 @@
 
 // Load reads the settings file and checks the fields that every role needs.
 func Load(path string) (*Params, error) {
-	b, err := os.ReadFile(path)
+	b, err := readSettings(path)
 	if err != nil {
 		return nil, code.New(code.BadFlag, "settings %s: %w", path, err)
 	}
 	return parse(path, string(b))
 }
 
+// maxSettingsBytes limits the settings file.
+const maxSettingsBytes = 1 << 20
+
+func readSettings(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	b, err := io.ReadAll(io.LimitReader(file, maxSettingsBytes+1))
+	if err == nil && len(b) > maxSettingsBytes {
+		err = fmt.Errorf("more than %d bytes", maxSettingsBytes)
+	}
+	return b, err
+}
+
 // parse decodes and checks the text of the settings file.
 func parse(path, text string) (*Params, error) {
 	p := &Params{path: path}
@@ -119,7 +139,8 @@
 		return settingError("seed-nodes", "missing")
 	case len(p.Zones) == 0:
 		return settingError("zones", "missing")
-	case !within(p.Limits.MemoryMB, 0, maxMB) || !within(p.Limits.DiskMB, 0, maxMB):
+	case !within(p.Limits.MemoryMB, 0, maxMB) || !within(p.Limits.DiskMB, 0, maxMB) ||
+		!within(p.Limits.Descriptors, 0, maxMB):
 		return settingError("limits", "a figure is not within 0 and %d", maxMB)
 	case min(p.Tolerance.Machines, p.Tolerance.Zones) < 0 || max(p.Tolerance.Machines, p.Tolerance.Zones) > maxFailures:
 		return settingError("fault-tolerance", "a figure is not within 0 and %d", maxFailures)
--- a/internal/platform/resting.go
+++ b/internal/platform/resting.go
@@ -52,6 +52,9 @@
 // connState is the ConnState hook of the server. A connection becomes active once the header of a
 // request has been read.
 func (l *idleLimiter) connState(c net.Conn, s http.ConnState) {
+	if caller, ok := c.(*callerConn); ok {
+		caller.setState(s)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch s {
@@ -62,6 +65,22 @@
 	}
 }
 
+// closeOldest closes the connection that has been idle for longest, to make room for another one.
+func (l *idleLimiter) closeOldest() {
+	l.mu.Lock()
+	var oldest net.Conn
+	for c, since := range l.idleSince {
+		if oldest == nil || since.Before(l.idleSince[oldest]) {
+			oldest = c
+		}
+	}
+	delete(l.idleSince, oldest)
+	l.mu.Unlock()
+	if oldest != nil {
+		_ = oldest.Close()
+	}
+}
+
 // run closes expired connections at each expireInterval until ctx ends.
 func (l *idleLimiter) run(ctx context.Context) {
 	loop.Every(ctx, expireInterval, nil, func(context.Context) { l.expire(time.Now()) })
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -10,6 +10,7 @@
 
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/transport/listen"
+	"damsontiller/internal/transport/membudget"
 )
 
 // memoryLimitFraction is the part of the configured memory that the Go runtime may use. The rest is
@@ -23,6 +24,41 @@
 	}
 }
 
+const (
+	// memoryBudgetDivisor is the part of the memory that the buffered data of requests may take.
+	memoryBudgetDivisor = 8
+	// connectionsDivisor is the part of the memory that callers' connections may take, with
+	// connectionBytes for the buffers and the stacks of one.
+	connectionsDivisor = 6
+	connectionBytes    = 24 << 10
+	minConnections     = 64
+	// descriptorsDivisor is the part of the descriptors for callers' connections. The others are
+	// for connections to runners and to other nodes.
+	descriptorsDivisor = 2
+	// defaultMemoryBytes is the memory assumed without the setting limits.memory-mb.
+	defaultMemoryBytes = 512 << 20
+)
+
+// MemoryBytes returns the memory of the process in bytes.
+func (p *Params) MemoryBytes() int64 {
+	if p.Limits.MemoryMB <= 0 {
+		return defaultMemoryBytes
+	}
+	return int64(p.Limits.MemoryMB * (1 << 20))
+}
+
+// MemoryBudget returns the bytes that the buffered data of requests may take.
+func (p *Params) MemoryBudget() int64 { return p.MemoryBytes() / memoryBudgetDivisor }
+
+// MaxConnections returns the number of callers' connections that the process bears at once.
+func (p *Params) MaxConnections() int {
+	most := p.MemoryBytes() / connectionsDivisor / connectionBytes
+	if p.Limits.Descriptors > 0 {
+		most = min(most, int64(p.Limits.Descriptors/descriptorsDivisor))
+	}
+	return int(max(most, minConnections))
+}
+
 // MinFreeMiB returns the free disk space in MiB below which new keys are rejected: 1/16 of the
 // setting limits.disk-mb.
 func (p *Params) MinFreeMiB() int64 { return int64(p.Limits.DiskMB / 16) }
@@ -38,7 +74,12 @@
 	Open    listen.Opener
 	Handler http.Handler
 	// Limits returns the limits of the current configuration; nil means the defaults.
-	Limits    func() spec.Limits
+	Limits func() spec.Limits
+	// Memory is the budget for the heads of requests; nil means no limit.
+	Memory *membudget.Budget
+	// MaxConnections bounds the callers' connections; 0 means no limit.
+	MaxConnections int
+
 	listening atomic.Bool
 	draining  atomic.Bool
 }
@@ -80,11 +121,18 @@
 	limiterCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go idle.run(limiterCtx)
+	if f.MaxConnections > 0 {
+		ln = listen.Limit(ln, f.MaxConnections, idle.closeOldest)
+	}
+	ln = &callerListener{Listener: ln, memory: f.Memory}
 	// The timeouts of http.Server cannot change after its start, so they are not set.
 	server := &http.Server{Handler: f, ConnState: idle.connState, MaxHeaderBytes: 128 << 10}
 	return serve(ctx, server, ln, func() { f.draining.Store(true) }, min(deregistrationDelay, grace/2), grace)
 }
 
+// maxAuxiliaryConnections bounds the connections of probes and of readers of the status.
+const maxAuxiliaryConnections = 128
+
 // ServeAuxiliary serves a handler for probes or status on addr, apart from the callers' server,
 // until ctx ends.
 func ServeAuxiliary(ctx context.Context, open listen.Opener, addr string, h http.Handler) error {
@@ -92,6 +140,7 @@
 	if err != nil {
 		return err
 	}
+	ln = listen.Limit(ln, maxAuxiliaryConnections, nil)
 	server := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: 5 * time.Second,
