Transport: frames that are being read share a budget over all connections

What could happen: the body of a frame (up to 8 MiB) was allocated by the announced length, on each connection and before admission control sees the call; a peer that stops in the middle kept it for ever. Connections were not bounded.

Change: bodies over 4 KiB take from a budget of 32 MiB, one for calls until they are answered, one for answers until they are delivered. Without room a connection is not read, so TCP slows the peer down; a frame larger than the budget is read alone; a counted body has 20 s. 4,096 connections.

--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -9,8 +9,10 @@
 	"net"
 	"runtime"
 	"sync"
+	"time"
 
 	"damsontiller/internal/transport/code"
+	"damsontiller/internal/transport/membudget"
 )
 
 // Version is the version of the frame layout. A peer that uses another version is notified
@@ -200,26 +202,88 @@
 	}
 }
 
-func readFrame(r *bufio.Reader, maxBodyBytes int) (frame, error) {
-	header, err := r.Peek(headerBytes)
+const (
+	// freeBodyBytes is the size of a body up to which it is not counted.
+	freeBodyBytes = 4 << 10
+	// bodyTimeout bounds the time to read the body of a counted frame.
+	bodyTimeout = 20 * time.Second
+	// memoryPollInterval is how often a frame is tried that finds no memory. Meanwhile TCP flow
+	// control slows the peer down.
+	memoryPollInterval = 5 * time.Millisecond
+)
+
+// frameReader reads the frames of a connection.
+type frameReader struct {
+	conn         net.Conn
+	buffered     *bufio.Reader
+	maxBodyBytes int
+	done         <-chan struct{} // closed once the connection has ended
+}
+
+func newFrameReader(conn net.Conn, maxBodyBytes int, done <-chan struct{}) *frameReader {
+	return &frameReader{conn, bufio.NewReaderSize(conn, readBufferBytes), maxBodyBytes, done}
+}
+
+// read reads a frame. It waits until there is memory for the body.
+func (frames *frameReader) read(memory *membudget.Account) (frame, error) {
+	f, bodyBytes, err := readHeader(frames.buffered, frames.maxBodyBytes)
 	if err != nil {
 		return frame{}, err
 	}
+	if bodyBytes > freeBodyBytes {
+		if err := frames.reserve(memory, int64(bodyBytes)); err != nil {
+			return frame{}, err
+		}
+		_ = frames.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+		defer func() { _ = frames.conn.SetReadDeadline(time.Time{}) }()
+	}
+	return readBody(frames.buffered, f, bodyBytes)
+}
+
+// reserve waits for memory until the connection has ended.
+func (frames *frameReader) reserve(memory *membudget.Account, n int64) error {
+	if memory.GrowAlone(n) == nil {
+		return nil
+	}
+	ticker := time.NewTicker(memoryPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-frames.done:
+			return net.ErrClosed
+		case <-ticker.C:
+		}
+		if memory.GrowAlone(n) == nil {
+			return nil
+		}
+	}
+}
+
+// readHeader reads the header of a frame and returns the length of its body.
+func readHeader(r *bufio.Reader, maxBodyBytes int) (frame, int, error) {
+	header, err := r.Peek(headerBytes)
+	if err != nil {
+		return frame{}, 0, err
+	}
 	if header[0] != magic || header[3] != 0 || header[2] < kindCall || header[2] > kindVersionMismatch {
-		return frame{}, code.New(code.Garbled, "frame head is not ours")
+		return frame{}, 0, code.New(code.Garbled, "frame head is not ours")
 	}
 	if header[1] != Version {
-		return frame{}, code.New(code.WireVersion, "frame version %d, want %d", header[1], Version)
+		return frame{}, 0, code.New(code.WireVersion, "frame version %d, want %d", header[1], Version)
 	}
 	bodyBytes := binary.BigEndian.Uint32(header[4:])
 	// The length is checked before memory is allocated for the body.
 	if int64(bodyBytes) > int64(maxBodyBytes) {
-		return frame{}, code.New(code.FrameTooLong, "frame of %d bytes, limit %d", bodyBytes, maxBodyBytes)
-	}
-	f := frame{kind: header[2], id: binary.BigEndian.Uint64(header[8:]), body: make([]byte, bodyBytes)}
-	if _, err := r.Discard(headerBytes); err != nil {
-		return frame{}, err
+		return frame{}, 0, code.New(code.FrameTooLong, "frame of %d bytes, limit %d", bodyBytes, maxBodyBytes)
 	}
+	f := frame{kind: header[2], id: binary.BigEndian.Uint64(header[8:])}
+	_, err = r.Discard(headerBytes)
+	return f, int(bodyBytes), err
+}
+
+// readBody reads the body of a frame.
+func readBody(r *bufio.Reader, f frame, bodyBytes int) (frame, error) {
+	f.body = make([]byte, bodyBytes)
 	if _, err := io.ReadFull(r, f.body); err != nil {
 		return frame{}, err
 	}
--- a/internal/transport/frame_fuzz_test.go
+++ b/internal/transport/frame_fuzz_test.go
@@ -1,15 +1,23 @@
 package transport
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"testing"
 
 	"damsontiller/internal/transport/code"
 )
 
+// bytesConn is a connection on which these bytes arrive.
+type bytesConn struct {
+	net.Conn
+	io.Reader
+}
+
+func (c bytesConn) Read(b []byte) (int, error) { return c.Reader.Read(b) }
+
 // FuzzFrame: for arbitrary input, each frame read encodes to the same bytes, none is longer
 // than the limit, and all other input fails with a known code.
 func FuzzFrame(f *testing.F) {
@@ -35,9 +43,9 @@
 	f.Add(append([]byte{magic, Version, kindVersionMismatch + 1, 0}, make([]byte, 12)...))
 	f.Add([]byte{magic, Version, kindCall, 0, 0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0, 0, 0, 0, 1})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		r := bufio.NewReader(bytes.NewReader(raw))
+		frames := newFrameReader(bytesConn{Reader: bytes.NewReader(raw)}, maxBodyBytes, nil)
 		for read := 0; ; {
-			got, err := readFrame(r, maxBodyBytes)
+			got, err := frames.read(nil)
 			if err != nil {
 				known := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 				switch code.Of(err) {
--- a/internal/transport/hub.go
+++ b/internal/transport/hub.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +12,7 @@
 
 	"damsontiller/internal/transport/code"
 	"damsontiller/internal/transport/listen"
+	"damsontiller/internal/transport/membudget"
 )
 
 // Params are the settings of the transport.
@@ -25,6 +25,10 @@
 	Backlog            int           // capacity of the write queue of a connection, in frames
 	MaxConcurrentCalls int           // calls served concurrently, over all connections
 	IdleTimeout        time.Duration // a connection without calls for this long is closed; 0 means never
+	MaxConnections     int           // connections served at once
+	// MaxReadBytes limits the memory of the frames that are being read, and of the calls read but
+	// not answered, each over all connections. A single larger frame is read on its own.
+	MaxReadBytes int64
 }
 
 // DefaultParams are suited to machines within one metropolitan area.
@@ -35,6 +39,8 @@
 	Backlog:            64,
 	MaxConcurrentCalls: 4096,
 	IdleTimeout:        30 * time.Second,
+	MaxConnections:     4096,
+	MaxReadBytes:       32 << 20,
 }
 
 // Net is the network interface; tests substitute a simulated network.
@@ -74,13 +80,20 @@
 	conns        map[string]*clientConn
 	lastIdleScan time.Time
 	lastID       atomic.Uint64
+	memory       *membudget.Budget // for the answers that are being read
 	// Sent counts the calls sent, for the metrics of messages per node.
 	Sent atomic.Uint64
 }
 
 // NewClient returns a client that uses the network n.
 func NewClient(n Net, p Params, partitions *Partitions) *Client {
-	return &Client{net: n, params: p, partitions: partitions, conns: map[string]*clientConn{}}
+	return &Client{
+		net:        n,
+		params:     p,
+		partitions: partitions,
+		conns:      map[string]*clientConn{},
+		memory:     membudget.New(p.MaxReadBytes),
+	}
 }
 
 // clientConn is a connection to a peer with its pending calls.
@@ -267,7 +280,7 @@
 	client.conns[addr] = dialed
 	client.mu.Unlock()
 	go (&writer{conn: c, queue: dialed.queue, done: dialed.done, end: dialed.close}).run()
-	go dialed.read(client.params.MaxBodyBytes)
+	go dialed.read(client.params.MaxBodyBytes, client.memory.Account())
 	return dialed, nil
 }
 
@@ -299,10 +312,11 @@
 }
 
 // read delivers answers to their calls until the connection ends.
-func (conn *clientConn) read(maxBodyBytes int) {
-	r := bufio.NewReaderSize(conn.netConn, readBufferBytes)
+func (conn *clientConn) read(maxBodyBytes int, memory *membudget.Account) {
+	defer memory.Close()
+	frames := newFrameReader(conn.netConn, maxBodyBytes, conn.done)
 	for {
-		f, err := readFrame(r, maxBodyBytes)
+		f, err := frames.read(memory)
 		if err == nil && f.kind == kindCall {
 			err = code.New(code.Garbled, "a call where an answer was due")
 		}
@@ -319,5 +333,6 @@
 			ch <- f
 		}
 		conn.mu.Unlock()
+		memory.Release()
 	}
 }
--- a/internal/transport/serve.go
+++ b/internal/transport/serve.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -10,6 +9,7 @@
 	"time"
 
 	"damsontiller/internal/transport/code"
+	"damsontiller/internal/transport/membudget"
 )
 
 // Call is a received call.
@@ -42,9 +42,10 @@
 	isClosed    bool
 	wg          sync.WaitGroup // running handlers
 	onError     func(error)
-	idleWorkers chan task     // unbuffered: received from by idle workers
-	idleCount   atomic.Int32  // number of idle workers
-	closing     chan struct{} // closed when the server is closed
+	idleWorkers chan task         // unbuffered: received from by idle workers
+	idleCount   atomic.Int32      // number of idle workers
+	closing     chan struct{}     // closed when the server is closed
+	memory      *membudget.Budget // for calls that are being read or answered
 }
 
 // task is a call to be answered.
@@ -52,7 +53,8 @@
 	ctx    context.Context
 	id     uint64
 	call   *Call
-	answer func(frame) bool // queues the answer for the connection's writer
+	memory *membudget.Account // holds the call
+	answer func(frame) bool   // queues the answer for the connection's writer
 }
 
 // maxIdleWorkers bounds the goroutines that wait for the next call. Reusing them avoids growing
@@ -72,6 +74,7 @@
 		onError:     onError,
 		idleWorkers: make(chan task),
 		closing:     make(chan struct{}),
+		memory:      membudget.New(p.MaxReadBytes),
 	}
 	go s.accept(ctx)
 	return s
@@ -172,19 +175,21 @@
 		})
 	}
 	s.mu.Lock()
-	alreadyClosed := s.isClosed
+	refused := s.isClosed || len(s.conns) >= s.params.MaxConnections
 	s.conns[c] = end
 	s.mu.Unlock()
-	if alreadyClosed {
+	if refused {
 		end(net.ErrClosed)
 		return
 	}
 	w := &writer{conn: c, queue: out, done: ctx.Done(), end: end}
 	go w.run()
-	r := bufio.NewReaderSize(c, readBufferBytes)
+	frames := newFrameReader(c, s.params.MaxBodyBytes, ctx.Done())
 	for {
-		f, err := readFrame(r, s.params.MaxBodyBytes)
+		memory := s.memory.Account()
+		f, err := frames.read(memory)
 		if err != nil {
+			memory.Close()
 			if n := code.Of(err); n != code.Unknown {
 				s.onError(err)
 				// A peer of another version is notified before the connection is closed.
@@ -196,6 +201,7 @@
 			return
 		}
 		if f.kind != kindCall {
+			memory.Close()
 			s.onError(code.New(code.Garbled, "an answer where a call was due"))
 			end(nil)
 			return
@@ -204,10 +210,11 @@
 		s.capacity <- struct{}{}
 		if !s.beginCall() {
 			<-s.capacity
+			memory.Close()
 			end(net.ErrClosed)
 			return
 		}
-		t := task{ctx, f.id, &Call{Body: f.body, ReadAt: time.Now()}, w.enqueue}
+		t := task{ctx, f.id, &Call{Body: f.body, ReadAt: time.Now()}, memory, w.enqueue}
 		select {
 		case s.idleWorkers <- t:
 		default:
@@ -242,6 +249,7 @@
 func (s *Server) answer(t task) {
 	defer s.wg.Done()
 	defer func() { <-s.capacity }()
+	defer t.memory.Close()
 	body := s.handler(t.ctx, t.call)
 	if body == nil || !t.answer(frame{kind: kindAnswer, id: t.id, body: body, written: t.call.done}) {
 		t.call.done()
