Processes: held calls and frames take parts of the memory that the settings give

Files named by an operator or the platform were read whole.

Change: an eighth of memory-mb for admitted calls with their answers, a sixteenth each for frames of calls and of answers, if that is less than before. Files are read up to 1 MiB (limitio).

Tests: TestReadFile; the limits themselves by TestCallsOverMemory and the tests of admission.

--- a/cmd/damsontiller-control/main.go
+++ b/cmd/damsontiller-control/main.go
@@ -19,6 +19,7 @@
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/state/storage"
 	"damsontiller/internal/transport/code"
+	"damsontiller/internal/transport/limitio"
 )
 
 const usage = `damsontiller-control serve [flags]                 run a core machine
@@ -74,7 +75,7 @@
 
 // readSpec reads a spec file and checks it.
 func readSpec(file string) (*spec.Spec, error) {
-	b, err := os.ReadFile(file)
+	b, err := limitio.ReadFile(file, spec.MaxBytes)
 	if err != nil {
 		return nil, code.New(code.BadSpec, "%w", err)
 	}
--- a/cmd/damsontiller-control/operator.go
+++ b/cmd/damsontiller-control/operator.go
@@ -20,6 +20,7 @@
 	"damsontiller/internal/coordination/web"
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/transport/code"
+	"damsontiller/internal/transport/limitio"
 )
 
 // maxResponse bounds the bytes read of a response.
@@ -273,7 +274,7 @@
 	if file == "-" {
 		return io.ReadAll(io.LimitReader(os.Stdin, spec.MaxBytes+1))
 	}
-	b, err := os.ReadFile(file)
+	b, err := limitio.ReadFile(file, spec.MaxBytes)
 	if err != nil {
 		return nil, code.New(code.BadFlag, "-file: %w", err)
 	}
--- a/cmd/damsontiller-replay/main.go
+++ b/cmd/damsontiller-replay/main.go
@@ -22,6 +22,7 @@
 	"damsontiller/internal/kit/simtime"
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/transport/code"
+	"damsontiller/internal/transport/limitio"
 )
 
 const usage = `damsontiller-replay record [flags]   write what a fleet's edges answer into a day file
@@ -193,7 +194,7 @@
 	if file == "" {
 		return nil, nil
 	}
-	data, err := os.ReadFile(file)
+	data, err := limitio.ReadFile(file, spec.MaxBytes)
 	if err != nil {
 		return nil, code.New(code.BadFlag, "%w", err)
 	}
--- a/cmd/internal/startup/platform.go
+++ b/cmd/internal/startup/platform.go
@@ -28,6 +28,7 @@
 		RenewInterval: leaseDuration / 3,
 		LeaseDuration: leaseDuration,
 		OrphanTimeout: 10 * time.Second,
+		Memory:        settings.MemoryBytes(),
 	}
 	process.OrphanTimeout = max(process.OrphanTimeout, process.LeaseDuration)
 	settings.SetMemoryLimit()
--- a/cmd/internal/startup/startup.go
+++ b/cmd/internal/startup/startup.go
@@ -26,6 +26,7 @@
 	"damsontiller/internal/state/storage"
 	"damsontiller/internal/transport"
 	"damsontiller/internal/transport/code"
+	"damsontiller/internal/transport/limitio"
 	"damsontiller/internal/transport/listen"
 	"damsontiller/internal/transport/logqueue"
 )
@@ -42,6 +43,7 @@
 	ID, Listen, HTTP, Zone, Data, Level         string
 	Seeds                                       string
 	Faults                                      bool
+	Memory                                      int64 // bytes; 0: not known
 	MinFree                                     int64 // MiB of free disk that new keys leave unused
 	RenewInterval, LeaseDuration, OrphanTimeout time.Duration
 	file                                        string
@@ -105,9 +107,12 @@
 	return p.check()
 }
 
+// maxParamsBytes limits the settings file.
+const maxParamsBytes = 1 << 20
+
 // load applies the settings file to the flags that the command line does not set.
 func (p *Process) load() error {
-	data, err := os.ReadFile(p.file)
+	data, err := limitio.ReadFile(p.file, maxParamsBytes)
 	if err != nil {
 		return flagError("params", "%v", err)
 	}
@@ -203,7 +208,7 @@
 	return node.Params{
 		Self:  &wire.Member{Id: p.ID, Role: role, Addr: p.Listen, Http: p.HTTP, Zone: p.Zone, Ident: ident},
 		Seeds: p.SeedList(), Net: transport.TCP(transport.DefaultParams, Opener(log)),
-		Transport: transport.DefaultParams,
+		Transport: transport.DefaultParams.WithMemory(p.Memory),
 		Lease: lease.Params{
 			RenewInterval: p.RenewInterval,
 			Duration:      p.LeaseDuration,
--- a/internal/coordination/peer/peer.go
+++ b/internal/coordination/peer/peer.go
@@ -81,6 +81,10 @@
 // New returns a peer with a new incarnation. Handlers are set before Serve.
 func New(self *wire.Member, network transport.Net, params transport.Params, log hclog.Logger) *Peer {
 	partitions := &transport.Partitions{}
+	admissionParams := admission.DefaultParams
+	if params.MaxHeldBytes > 0 {
+		admissionParams.MaxBytes = min(admissionParams.MaxBytes, params.MaxHeldBytes)
+	}
 	peer := &Peer{
 		Partitions: partitions,
 		Log:        log,
@@ -88,7 +92,7 @@
 		net:        network,
 		params:     params,
 		handlers:   map[reflect.Type]Handler{},
-		Admission:  admission.New(admission.DefaultParams),
+		Admission:  admission.New(admissionParams),
 	}
 	peer.Self = wire.Member{
 		Id:    self.Id,
--- a/internal/dataplane/edge/proxy.go
+++ b/internal/dataplane/edge/proxy.go
@@ -100,7 +100,7 @@
 	usage := r.edge.params.Memory.Usage()
 	out = append(
 		out,
-		metrics.Sample{Name: "buffered_bytes", Help: "Memory of buffered requests and answers.", Value: float64(usage.Held)},
+		metrics.Sample{Name: "buffered_bytes", Help: "Memory of buffered data.", Value: float64(usage.Held)},
 		metrics.Sample{Name: "buffered_bytes_highest", Help: "Its highest value.", Value: float64(usage.Highest)},
 		metrics.Sample{Name: "buffered_bytes_limit", Help: "Its limit.", Value: float64(usage.Limit)},
 		metrics.Sample{
--- a/internal/platform/params.go
+++ b/internal/platform/params.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net"
 	"os"
 	"slices"
@@ -18,6 +16,7 @@
 	"damsontiller/internal/dataplane/quota"
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/transport/code"
+	"damsontiller/internal/transport/limitio"
 	"damsontiller/internal/transport/loop"
 )
 
@@ -77,7 +76,7 @@
 
 // Load reads the settings file and checks the fields that every role needs.
 func Load(path string) (*Params, error) {
-	b, err := readSettings(path)
+	b, err := limitio.ReadFile(path, maxSettingsBytes)
 	if err != nil {
 		return nil, code.New(code.BadFlag, "settings %s: %w", path, err)
 	}
@@ -87,19 +86,6 @@
 // maxSettingsBytes limits the settings file.
 const maxSettingsBytes = 1 << 20
 
-func readSettings(path string) ([]byte, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer file.Close()
-	b, err := io.ReadAll(io.LimitReader(file, maxSettingsBytes+1))
-	if err == nil && len(b) > maxSettingsBytes {
-		err = fmt.Errorf("more than %d bytes", maxSettingsBytes)
-	}
-	return b, err
-}
-
 // parse decodes and checks the text of the settings file.
 func parse(path, text string) (*Params, error) {
 	p := &Params{path: path}
--- a/internal/transport/hub.go
+++ b/internal/transport/hub.go
@@ -29,6 +29,26 @@
 	// MaxReadBytes limits the memory of the frames that are being read, and of the calls read but
 	// not answered, each over all connections. A single larger frame is read on its own.
 	MaxReadBytes int64
+	// MaxHeldBytes limits the memory of admitted calls and of their answers that are not written
+	// yet; 0 means the default of package admission.
+	MaxHeldBytes int64
+}
+
+const (
+	// readDivisor and heldDivisor are the parts of a process's memory for MaxReadBytes, of which
+	// there are two, and for MaxHeldBytes.
+	readDivisor = 16
+	heldDivisor = 8
+)
+
+// WithMemory returns the parameters with their limits lowered to parts of the memory of the process,
+// in bytes; 0 changes nothing.
+func (p Params) WithMemory(bytes int64) Params {
+	if bytes > 0 {
+		p.MaxReadBytes = min(p.MaxReadBytes, bytes/readDivisor)
+		p.MaxHeldBytes = bytes / heldDivisor
+	}
+	return p
 }
 
 // DefaultParams are suited to machines within one metropolitan area.
