Platform's list, operators, polls: bounds of entries, bytes, time and number at once

What could happen: the platform's list was bounded by page (4 MiB, 256 pages) and not in sum, in entries or in time; 4 MiB of empty objects decode to many times their size on an edge of 72 MB, and 256 pages of 0.8 s hold a read for minutes. The same holds for a configuration of 3 MiB, of which any number could be sent at once. Heads of runners' reports and of the list had net/http's 10 MB; all runners were polled at once with 1 MiB each.

Change: the list has 2 MiB and 16,384 objects a page, 8 MiB and 16,384 runners in all, 10 s; past it the last list stays. A configuration has 65,536 objects (413); two are decoded at once, a third waits 0.4 s and gets 503 with Retry-After. Bodies of operators share 16 MiB (503), their servers take 512 connections.

Tests: TestNotRead, three cases more. On the code before the page of many objects was taken as a list and the test failed; the other two end there by the limit of pages.

--- a/internal/coordination/web/web.go
+++ b/internal/coordination/web/web.go
@@ -19,6 +19,7 @@
 	"damsontiller/internal/transport"
 	"damsontiller/internal/transport/code"
 	"damsontiller/internal/transport/listen"
+	"damsontiller/internal/transport/membudget"
 )
 
 // Failure is the JSON body of the response to a failed request.
@@ -64,9 +65,28 @@
 		}
 	}
 	e.Use(limitWriteTime)
+	e.Use(limitMemory(membudget.New(maxBodiesBytes)))
 	return e
 }
 
+// maxBodiesBytes limits the memory of the request bodies that a server reads or holds at once.
+const maxBodiesBytes = 16 << 20
+
+// accountKey is the key of a request's account in its context.
+const accountKey = "memory"
+
+// limitMemory gives each request an account for its body.
+func limitMemory(budget *membudget.Budget) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			account := budget.Account()
+			defer account.Close()
+			c.Set(accountKey, account)
+			return next(c)
+		}
+	}
+}
+
 // writeTimeout is the time a client has to read a response. It starts at the first byte:
 // responses are complete before the server begins to write them.
 const writeTimeout = 10 * time.Second
@@ -98,10 +118,14 @@
 	return http.StatusServiceUnavailable
 }
 
-// ReadBody reads a request body of at most maxBytes. Larger bodies fail with TooLarge.
+// ReadBody reads a request body of at most maxBytes. Larger bodies fail with TooLarge, and those
+// that exceed the memory for all bodies with MemoryFull.
 func ReadBody(c echo.Context, maxBytes int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBytes+1))
+	account, _ := c.Get(accountKey).(*membudget.Account)
+	body, err := account.ReadUpTo(c.Request().Body, maxBytes+1)
 	switch {
+	case code.Of(err) == code.MemoryFull:
+		return nil, err
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		// The client ended the body before the announced Content-Length.
 		return nil, code.New(code.BadJSON, "body is cut short: %w", err)
@@ -145,6 +169,9 @@
 	})
 }
 
+// maxConnections limits the connections of a server. Further ones are closed unread.
+const maxConnections = 512
+
 // Serve serves HTTP at addr until the server fails or ctx is canceled. On cancellation it shuts
 // the server down gracefully and closes the connections that are still active after the grace
 // period.
@@ -153,6 +180,7 @@
 	if err != nil {
 		return err
 	}
+	listener = listen.Limit(listener, maxConnections, nil)
 	server := &http.Server{
 		Handler:           e,
 		ReadHeaderTimeout: 5 * time.Second,
--- a/internal/dataplane/balancing/assignment/assigner.go
+++ b/internal/dataplane/balancing/assignment/assigner.go
@@ -36,7 +36,7 @@
 	WarmupStart  int           // initial limit of a runner in warm-up
 	// WarmAfter is the uptime from which a new assigner treats a runner as warmed up.
 	WarmAfter time.Duration
-	// Transport is used to poll the runners; nil means http.DefaultTransport.
+	// Transport is used to poll the runners; nil means runnerapi.NewTransport.
 	Transport http.RoundTripper
 	// LastState returns the last broadcast state of a runner. A new assigner continues the
 	// warm-up of the process from there.
--- a/internal/dataplane/balancing/assignment/polling.go
+++ b/internal/dataplane/balancing/assignment/polling.go
@@ -30,8 +30,11 @@
 		departed bool
 	}
 	results := make(chan result, len(want))
+	polling := make(chan struct{}, maxConcurrentPolls)
 	for _, r := range want {
 		go func() {
+			polling <- struct{}{}
+			defer func() { <-polling }()
 			report, departed := assigner.pollRunner(ctx, r)
 			results <- result{r, report, departed}
 		}()
@@ -64,7 +67,7 @@
 		return nil
 	}
 	var l runnerapi.RunnerList
-	if err := assigner.get(ctx, "http://"+addr+"/v1/runners", &l); err != nil {
+	if err := assigner.get(ctx, "http://"+addr+"/v1/runners", &l, maxListBytes); err != nil {
 		assigner.node.Log.Debug("failed to read the platform's runner list", "err", err)
 		// The list is eventually consistent anyway, so the last one read remains usable.
 		return assigner.listed
@@ -78,7 +81,14 @@
 	return assigner.listed
 }
 
-func (assigner *Assigner) get(ctx context.Context, url string, into any) error {
+// Limits of the polls.
+const (
+	maxReportBytes     = 64 << 10
+	maxListBytes       = 1 << 20
+	maxConcurrentPolls = 256
+)
+
+func (assigner *Assigner) get(ctx context.Context, url string, into any, maxBytes int64) error {
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -91,12 +101,12 @@
 	if r.StatusCode != http.StatusOK {
 		return code.New(code.RunnerFailure, "status %d", r.StatusCode)
 	}
-	return json.NewDecoder(http.MaxBytesReader(nil, r.Body, 1<<20)).Decode(into)
+	return json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBytes)).Decode(into)
 }
 
 func (assigner *Assigner) pollRunner(ctx context.Context, r spec.Runner) (report *runnerapi.Report, departed bool) {
 	report = &runnerapi.Report{}
-	if err := assigner.get(ctx, "http://"+r.Addr+"/v1/report", report); err != nil {
+	if err := assigner.get(ctx, "http://"+r.Addr+"/v1/report", report, maxReportBytes); err != nil {
 		return nil, PortRefused(err)
 	}
 	if report.Name != r.Name {
--- a/internal/dataplane/balancing/assignment/service.go
+++ b/internal/dataplane/balancing/assignment/service.go
@@ -8,6 +8,7 @@
 
 	"damsontiller/internal/coordination/node"
 	"damsontiller/internal/coordination/singleton"
+	"damsontiller/internal/dataplane/request/runnerapi"
 	"damsontiller/internal/proto/wire"
 	"damsontiller/internal/transport/code"
 	"damsontiller/internal/transport/loop"
@@ -48,6 +49,10 @@
 
 // Work runs one tenure until ctx ends.
 func (service *Service) Work(ctx context.Context, epoch uint64) {
+	transport := service.params.Transport
+	if transport == nil {
+		transport = runnerapi.NewTransport()
+	}
 	assigner := &Assigner{
 		params:  service.params,
 		node:    service.node,
@@ -56,7 +61,7 @@
 		wakeup:  loop.NewWakeup(),
 		runners: map[string]*trackedRunner{},
 		edges:   map[uint64]*edge{},
-		client:  &http.Client{Timeout: service.params.PollInterval, Transport: service.params.Transport},
+		client:  &http.Client{Timeout: service.params.PollInterval, Transport: transport},
 	}
 	defer assigner.client.CloseIdleConnections()
 	assigner.poll(ctx)
--- a/internal/dataplane/request/call/call.go
+++ b/internal/dataplane/request/call/call.go
@@ -54,13 +54,7 @@
 // transport.
 func NewWeb(t http.RoundTripper) *http.Client {
 	if t == nil {
-		d := &net.Dialer{Timeout: time.Second}
-		t = &http.Transport{
-			DialContext:         d.DialContext,
-			MaxIdleConnsPerHost: 32,
-			IdleConnTimeout:     30 * time.Second,
-			DisableCompression:  true,
-		}
+		t = runnerapi.NewTransport()
 	}
 	return &http.Client{
 		Transport: t,
--- a/internal/platform/control/operate.go
+++ b/internal/platform/control/operate.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -16,6 +17,7 @@
 	"damsontiller/internal/coordination/web"
 	"damsontiller/internal/proto/spec"
 	"damsontiller/internal/transport/code"
+	"damsontiller/internal/transport/loop"
 )
 
 // hBase is the header of the revision that a configuration builds on.
@@ -39,6 +41,28 @@
 	Core *core.Core
 	Sets Retirer
 	Log  hclog.Logger // nil: none
+
+	decoding atomic.Int64 // configurations that are being decoded
+}
+
+// maxDecoding bounds the configurations that are decoded at once, which takes several times the
+// memory of their text.
+const maxDecoding = 2
+
+// decodePollInterval is how often an order that waits for its turn to be decoded looks again.
+const decodePollInterval = 10 * time.Millisecond
+
+// beginDecode waits until an order may be decoded; decoding is lowered after it.
+func (o *Handler) beginDecode(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, orderWait/2)
+	defer cancel()
+	for o.decoding.Add(1) > maxDecoding {
+		o.decoding.Add(-1)
+		if !loop.Wait(ctx, decodePollInterval) {
+			return false
+		}
+	}
+	return true
 }
 
 // Routes puts the operators' interface on e.
@@ -114,7 +138,11 @@
 	if err != nil {
 		return o.fail(x, err)
 	}
+	if !o.beginDecode(x.Request().Context()) {
+		return o.fail(x, code.New(code.MemoryFull, "%d other configurations are being read", maxDecoding))
+	}
 	rev, apply, err := read(b)
+	o.decoding.Add(-1)
 	if err != nil {
 		return o.fail(x, err)
 	}
--- a/internal/platform/control/table.go
+++ b/internal/platform/control/table.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"math"
@@ -24,7 +25,14 @@
 // weightUnit makes integer weights of shares, which may be fractions.
 const weightUnit = 1e6
 
+// maxObjects bounds the JSON objects of a configuration. An empty one takes some hundred times its
+// bytes once it is decoded.
+const maxObjects = 64 << 10
+
 func decode(b []byte, into easyjson.Unmarshaler) error {
+	if bytes.Count(b, []byte("{")) > maxObjects {
+		return code.New(code.TooLarge, "more than %d objects", maxObjects)
+	}
 	// The generated readers skip over what they don't know without a read of it.
 	if !json.Valid(b) {
 		return code.New(code.BadJSON, "the body is not JSON")
--- a/internal/platform/discovery/discovery.go
+++ b/internal/platform/discovery/discovery.go
@@ -2,6 +2,7 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -21,7 +22,17 @@
 // Bounds of one read of the list.
 const (
 	maxPages     = 256
-	maxPageBytes = 4 << 20
+	maxPageBytes = 2 << 20
+	// maxPageObjects bounds the JSON objects of a page, runners and their models. An empty object
+	// takes some 50 times its bytes once it is decoded.
+	maxPageObjects = 16 << 10
+	// maxListBytes and maxRunners bound all pages together.
+	maxListBytes = 8 << 20
+	maxRunners   = 16 << 10
+	// listTimeout bounds the time for all pages.
+	listTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the head of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // Bounds of the numbers of an entry.
@@ -64,6 +75,8 @@
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     5 * time.Second,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 	}}
 }
@@ -83,14 +96,23 @@
 }
 
 func (r *Reader) pages(ctx context.Context) ([]endpoints.Runner, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
 	var out []endpoints.Runner
 	seen := map[string]bool{}
 	token := ""
+	bytesLeft := int64(maxListBytes)
 	for range maxPages {
-		p, err := r.read(ctx, token)
+		p, size, err := r.read(ctx, token)
 		if err != nil {
 			return nil, err
 		}
+		if bytesLeft -= size; bytesLeft < 0 {
+			return nil, code.New(code.TooLarge, "list: more than %d bytes", maxListBytes)
+		}
+		if len(out)+len(p.Runners) > maxRunners {
+			return nil, code.New(code.TooLarge, "list: more than %d runners", maxRunners)
+		}
 		for i := range p.Runners {
 			runner, ok := p.Runners[i].runner()
 			// The list may change between two pages, so that a runner appears on both.
@@ -110,40 +132,43 @@
 	return nil, code.New(code.TooLarge, "list: more than %d pages", maxPages)
 }
 
-func (r *Reader) read(ctx context.Context, token string) (*page, error) {
+// read reads one page, and returns its size in bytes as well.
+func (r *Reader) read(ctx context.Context, token string) (*page, int64, error) {
 	u := "http://" + r.Addr + "/instances"
 	if token != "" {
 		u += "?page-token=" + url.QueryEscape(token)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
-		return nil, code.New(code.Garbled, "list: %w", err)
+		return nil, 0, code.New(code.Garbled, "list: %w", err)
 	}
 	resp, err := r.Client.Do(req)
 	if err != nil {
-		return nil, code.New(code.Unreachable, "list: %w", err)
+		return nil, 0, code.New(code.Unreachable, "list: %w", err)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes+1))
 	switch {
 	case err != nil:
-		return nil, code.New(code.Unreachable, "list: %w", err)
+		return nil, 0, code.New(code.Unreachable, "list: %w", err)
 	case len(body) > maxPageBytes:
-		return nil, code.New(code.TooLarge, "list: a page of more than %d bytes", maxPageBytes)
+		return nil, 0, code.New(code.TooLarge, "list: a page of more than %d bytes", maxPageBytes)
+	case bytes.Count(body, []byte("{")) > maxPageObjects:
+		return nil, 0, code.New(code.TooLarge, "list: a page of more than %d objects", maxPageObjects)
 	case resp.StatusCode == http.StatusTooManyRequests:
 		seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		if err != nil || !(seconds >= 0 && seconds < maxRetryAfterSeconds) {
 			seconds = defaultRetryAfterSeconds
 		}
-		return nil, &RateLimitError{RetryAfter: platform.Ms(seconds * 1000)}
+		return nil, 0, &RateLimitError{RetryAfter: platform.Ms(seconds * 1000)}
 	case resp.StatusCode != http.StatusOK:
-		return nil, code.New(code.Unreachable, "list: %s", resp.Status)
+		return nil, 0, code.New(code.Unreachable, "list: %s", resp.Status)
 	}
 	p := &page{}
 	if err := p.UnmarshalJSON(body); err != nil {
-		return nil, code.New(code.Garbled, "list: %w", err)
+		return nil, 0, code.New(code.Garbled, "list: %w", err)
 	}
-	return p, nil
+	return p, int64(len(body)), nil
 }
 
 // clamp limits f to the range from low to high, so that its conversion to an integer is defined.
--- a/internal/platform/discovery/discovery_test.go
+++ b/internal/platform/discovery/discovery_test.go
@@ -128,6 +128,27 @@
 			func(string) (int, http.Header, string) { return 200, nil, strings.Repeat(" ", maxPageBytes+1) },
 			code.TooLarge,
 		},
+		{
+			"a page of many objects",
+			func(string) (int, http.Header, string) {
+				return 200, nil, `{"instances":[` + strings.Repeat("{},", maxPageObjects) + `{}]}`
+			},
+			code.TooLarge,
+		},
+		{
+			"many runners on many pages",
+			func(tok string) (int, http.Header, string) {
+				return 200, nil, `{"instances":[` + strings.Repeat("{},", maxPageObjects/2) + `{}],"next-token":"` + tok + `x"}`
+			},
+			code.TooLarge,
+		},
+		{
+			"many bytes on many pages",
+			func(tok string) (int, http.Header, string) {
+				return 200, nil, strings.Repeat(" ", maxPageBytes/2) + `{"next-token":"` + tok + `x"}`
+			},
+			code.TooLarge,
+		},
 		{"second page", func(tok string) (int, http.Header, string) {
 			if tok == "" {
 				return 200, nil, `{"instances":[` + item("i-1") + `],"next-token":"p"}`
