Soak: runners that spoil answers, and the memory of each process as its machine has it

Now half of the runners spoil a fifth of their answers for 1 to 5 s, first thing in each run and again by the plan, in eleven ways: heads, provisional answers and events that never end, text that is no answer, wrong frames, cuts, surplus bytes, answers to other jobs. Such bytes carry a mark; a client that is shown it is a breach (SPOILED).

--- a/internal/kit/soak/judge.go
+++ b/internal/kit/soak/judge.go
@@ -22,6 +22,10 @@
 	Breaches                             []Breach
 	Exits                                []Exit // those that were not expected
 	Requests, Served, Refused, Cut, Runs int
+	// Spoiled are requests of which a runner spoiled the answer.
+	Spoiled int
+	// PeakMB is the highest memory of a process of each role.
+	PeakMB memoryMB
 	// NotKept are turns cut as over two stores were away.
 	NotKept                              int
 	Acknowledged, Unclear, Probes, Reads int
@@ -47,9 +51,11 @@
 	}
 	fmt.Fprintf(w, "soak: %d requests, %d served, %d refused, %d cut, %d of them not kept; %d runs; "+
 		"%d changes acknowledged, %d unclear; %d probes, %d reads; %d ended before they took signals; "+
+		"%d answers spoiled; at most %d MB an edge, %d a store, %d a core; "+
 		"back %s after the closing fault; %d breaches, %d unexpected exits\n",
 		r.Requests, r.Served, r.Refused, r.Cut, r.NotKept, r.Runs,
 		r.Acknowledged, r.Unclear, r.Probes, r.Reads, r.Early,
+		r.Spoiled, r.PeakMB[roleEdge], r.PeakMB[roleStore], r.PeakMB[roleCore],
 		r.Recovered.Round(time.Millisecond), len(r.Breaches), len(r.Exits))
 }
 
@@ -58,7 +64,7 @@
 }
 
 func (r *Rig) judge(c closing, readBack bool) *Report {
-	out := &Report{Begun: r.begun, Breaches: slices.Clone(r.operator.breaches)}
+	out := &Report{Begun: r.begun, Breaches: slices.Clone(r.operator.breaches), PeakMB: r.peaks()}
 	var all []*exchange
 	for _, client := range r.clients {
 		all = append(all, client.exchanges...)
@@ -138,6 +144,12 @@
 	runs := r.ledger.of(x.attempt)
 	out.Runs += len(runs)
 	r.judgeRuns(out, x, runs)
+	if slices.ContainsFunc(runs, func(run run) bool { return run.spoiled }) {
+		out.Spoiled++
+	}
+	if strings.Contains(x.body, spoiledMark) || strings.Contains(x.seal, spoiledMark) {
+		out.breach(x.ended, "SPOILED", "%s was shown bytes of a spoiled answer", x)
+	}
 	switch {
 	case x.served():
 		out.Served++
@@ -248,6 +260,8 @@
 			x.ended.Sub(stopped).Round(time.Millisecond))
 	}
 	switch {
+	case x.kind == turnJob && slices.ContainsFunc(runs, func(run run) bool { return run.spoiled }):
+		// The runner broke its stream off.
 	case len(runs) > 0 && stopping && x.sent.Sub(stopped) <= 3*time.Second && x.ended.Sub(stopped) > grace*5/6:
 		// The runner was still at work when the time of the edge was over.
 	case len(runs) > 0 && x.kind == turnJob && r.storesAway(x.sent.Add(-contact), x.ended):
--- a/internal/kit/soak/layout.go
+++ b/internal/kit/soak/layout.go
@@ -88,6 +88,7 @@
 		dir:      filepath.Join(r.params.Dir, id),
 		bin:      r.params.Bin,
 		platform: platformAddr(r.net),
+		memoryMB: r.params.memory()[role],
 	}
 }
 
@@ -119,7 +120,7 @@
 [bind-addresses]
 %s
 [limits]
-memory-mb = 294
+memory-mb = %d
 disk-mb = 370
 [fault-tolerance]
 machines = 2
@@ -145,7 +146,7 @@
 		bind = fmt.Sprintf("front = %q\nreadiness = %q", m.addr(frontPort), m.addr(readinessPort))
 	}
 	text := fmt.Sprintf(settingsText, m.ID, m.Role, m.IP, m.Zone, internalPort, lastPort,
-		strings.Join(m.seeds, `","`), initial, data, bind, m.platform)
+		strings.Join(m.seeds, `","`), initial, data, bind, m.memoryMB, m.platform)
 	if err := os.MkdirAll(filepath.Join(m.dir, "data"), 0o755); err != nil {
 		return err
 	}
--- a/internal/kit/soak/machine.go
+++ b/internal/kit/soak/machine.go
@@ -63,6 +63,7 @@
 	dir, bin, platform string
 	seeds              []string
 	initial            bool // it is of the deployment's first start
+	memoryMB           int
 
 	mu     sync.Mutex
 	wanted bool // the machine is up
@@ -76,6 +77,10 @@
 	gone    chan struct{}
 	events  []event
 	exits   []Exit
+	// peakMB is the highest memory of any of its processes; overMemory: the present one has gone
+	// over the machine's.
+	peakMB     int
+	overMemory bool
 }
 
 func (m *Machine) record(kind eventKind, note string) {
@@ -131,7 +136,7 @@
 		return err
 	}
 	m.lives++
-	m.frozen = false
+	m.frozen, m.overMemory = false, false
 	m.cmd, m.begun, m.stopped, m.gone = cmd, time.Now(), time.Time{}, make(chan struct{})
 	go m.await(cmd, m.gone)
 	return nil
@@ -164,6 +169,8 @@
 	case status.Signaled() && status.Signal() != syscall.SIGKILL && !m.hasStarted():
 		// From exec to its first own instruction no process can take a signal.
 		x.early = true
+	case m.overMemory:
+		x.Why = fmt.Sprintf("went over the memory of its machine, %d MB", m.memoryMB)
 	case status.Signaled() && status.Signal() == syscall.SIGKILL && !m.outlastedGrace():
 		x.Expected = true
 	case status.Signaled() && status.Signal() == syscall.SIGKILL:
--- a/internal/kit/soak/runners.go
+++ b/internal/kit/soak/runners.go
@@ -55,6 +55,7 @@
 	tenant  string // on whose behalf, as the runner was told
 	secret  bool   // the runner was shown a credential
 	began   time.Time
+	spoiled bool      // the runner did not answer it as it should have
 	ended   time.Time // the whole answer was written; zero: it was not
 }
 
@@ -95,15 +96,16 @@
 	runners []*runner
 }
 
-func newPlatformList(network string, l *ledger) (*platformList, error) {
+func newPlatformList(network string, l *ledger, s *spoilers) (*platformList, error) {
 	p := &platformList{}
 	for i := range 2 * runnersPerService {
 		r := &runner{
-			id:      fmt.Sprintf("i-%04d", i),
-			service: [...]string{modelService, plainService}[i%2],
-			zone:    zones[i/2%len(zones)],
-			addr:    fmt.Sprintf("%s.100.%d:%d", network, i+1, runnerPort),
-			ledger:  l,
+			id:       fmt.Sprintf("i-%04d", i),
+			service:  [...]string{modelService, plainService}[i%2],
+			zone:     zones[i/2%len(zones)],
+			addr:     fmt.Sprintf("%s.100.%d:%d", network, i+1, runnerPort),
+			ledger:   l,
+			spoilers: s,
 		}
 		if err := r.serve(); err != nil {
 			return nil, err
@@ -162,10 +164,12 @@
 	_ = p.server.Close()
 }
 
-// runner is a stand-in that never fails: what its callers don't get was lost on the way.
+// runner is a stand-in that fails only while it is told to spoil answers: what its callers don't
+// get otherwise was lost on the way.
 type runner struct {
 	id, service, zone, addr string
 	ledger                  *ledger
+	spoilers                *spoilers
 	server                  *http.Server
 }
 
@@ -201,7 +205,13 @@
 		runner: r.id, attempt: attempt, service: r.service, body: string(body), began: time.Now(),
 		tenant: q.Header.Get(headerTenant), secret: q.Header.Get(headerCredential) != "",
 	}
+	answer := r.spoilers.draw(r)
+	job.spoiled = answer != nil
 	r.ledger.begin(attempt, job)
+	if answer != nil {
+		r.spoil(w, attempt, answer)
+		return
+	}
 	w.Header().Set(headerSeal, sealOf(r.id, attempt))
 	w.Header().Set(headerLoad, fmt.Sprintf("1,0,%d", runnerSlots))
 	if r.service == modelService {
--- a/internal/kit/soak/soak.go
+++ b/internal/kit/soak/soak.go
@@ -37,7 +37,16 @@
 	CoreShare float64
 	// IdleRoutes are routes of the configuration that nobody calls.
 	IdleRoutes int
-	Out        io.Writer
+	// Smallest: the machines have the memory of the smallest ones of the users' deployments.
+	Smallest bool
+	Out      io.Writer
+}
+
+func (p Params) memory() memoryMB {
+	if p.Smallest {
+		return smallestMemory
+	}
+	return usualMemory
 }
 
 // Timing of the deployment that is played; the settings files tell it to the processes.
@@ -66,6 +75,7 @@
 	taken      net.Listener
 	ledger     *ledger
 	platform   *platformList
+	spoilers   *spoilers
 	entry      *entry
 	operator   *operator
 	clients    []*client
@@ -87,6 +97,7 @@
 	defer cancel()
 	var background sync.WaitGroup
 	background.Go(func() { r.entry.run(ctx) })
+	background.Go(func() { r.watchMemory(ctx) })
 	if p.CoreShare > 0 {
 		for _, m := range r.fleet.role(roleCore) {
 			background.Go(func() { m.throttle(ctx, p.CoreShare) })
@@ -131,7 +142,8 @@
 	}
 	r := &Rig{params: p, net: network, taken: taken, ledger: newLedger()}
 	r.layOut()
-	if r.platform, err = newPlatformList(network, r.ledger); err != nil {
+	r.spoilers = newSpoilers(r.random(4))
+	if r.platform, err = newPlatformList(network, r.ledger, r.spoilers); err != nil {
 		taken.Close()
 		return nil, err
 	}
--- a/internal/kit/soak/trouble.go
+++ b/internal/kit/soak/trouble.go
@@ -28,12 +28,13 @@
 		do     func()
 	}{
 		{6, t.stopSeries}, {5, t.reloadSeries}, {2, t.killMany}, {3, t.killFew}, {2, t.loseDisks},
-		{2, t.freezeFew}, {2, t.holdPort}, {1, t.replaceStore}, {1, t.addStore},
+		{2, t.freezeFew}, {2, t.holdPort}, {1, t.replaceStore}, {1, t.addStore}, {3, t.spoilAnswers},
 	}
 	total := 0
 	for _, k := range kinds {
 		total += k.weight
 	}
+	t.spoilAnswers()
 	for end := time.Now().Add(span); time.Now().Before(end); {
 		n := t.random.IntN(total)
 		for _, k := range kinds {
