Callers: a connection counts with 48 KiB; a prompt's parts are bounded in number

What was seen: 1,200 connections of one request each took 36 KiB each of an edge, 47 KiB where they were 512 (resident memory of a real process, memory-mb 184 and 72), not the 24 KiB assumed.

A header of 128 KiB can name 32,000 parts of a prompt; 1,024 are kept, the rest only checked.

TestManyPromptParts. The tests of processes have memory-mb and file-descriptors in their settings now.

--- a/internal/kit/soak/process_test.go
+++ b/internal/kit/soak/process_test.go
@@ -132,6 +132,9 @@
 control = "%s:8144"
 [platform-api]
 address = "%s:1"
+[limits]
+memory-mb = 72
+file-descriptors = 4100
 `
 
 func (p *process) await() {
--- a/internal/platform/headers/headers.go
+++ b/internal/platform/headers/headers.go
@@ -120,12 +120,16 @@
 	return max(time.Nanosecond, platform.Ms(min(f, math.MaxInt32))), nil
 }
 
-// parsePromptParts parses a comma-separated list of ID:TOKENS.
+// maxPromptParts limits the parts of a prompt that are kept. The header reaches the runner whole.
+const maxPromptParts = 1024
+
+// parsePromptParts parses a comma-separated list of ID:TOKENS. It checks all parts and returns the
+// first maxPromptParts of them.
 func parsePromptParts(v string) ([]proxy.PromptPart, error) {
 	if v == "" {
 		return nil, nil
 	}
-	out := make([]proxy.PromptPart, 0, 1+strings.Count(v, ","))
+	out := make([]proxy.PromptPart, 0, min(1+strings.Count(v, ","), maxPromptParts))
 	for s := range strings.SplitSeq(v, ",") {
 		id, n, ok := strings.Cut(strings.TrimSpace(s), ":")
 		if !ok || id == "" {
@@ -135,7 +139,9 @@
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, proxy.PromptPart{ID: id, Tokens: tokens})
+		if len(out) < maxPromptParts {
+			out = append(out, proxy.PromptPart{ID: id, Tokens: tokens})
+		}
 	}
 	return out, nil
 }
--- a/internal/platform/headers/headers_test.go
+++ b/internal/platform/headers/headers_test.go
@@ -190,3 +190,14 @@
 		}
 	}
 }
+
+// TestManyPromptParts guards against a prompt whose parts take many times the bytes of the header.
+func TestManyPromptParts(t *testing.T) {
+	many := strings.Repeat("a:1,", 30_000)
+	if parts, err := parsePromptParts(many + "a:1"); err != nil || len(parts) != maxPromptParts || cap(parts) > maxPromptParts {
+		t.Errorf("%d parts kept in %d places, %v", len(parts), cap(parts), err)
+	}
+	if _, err := parsePromptParts(many + "a"); code.Of(err) != code.BadHeader {
+		t.Errorf("a malformed part past them: %v", err)
+	}
+}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -29,8 +29,8 @@
 	memoryBudgetDivisor = 8
 	// connectionsDivisor is the part of the memory that callers' connections may take, with
 	// connectionBytes for the buffers and the stacks of one.
-	connectionsDivisor = 6
-	connectionBytes    = 24 << 10
+	connectionsDivisor = 4
+	connectionBytes    = 48 << 10
 	minConnections     = 64
 	// descriptorsDivisor is the part of the descriptors for callers' connections. The others are
 	// for connections to runners and to other nodes.
