--- a/internal/platform/callerconn_test.go
+++ b/internal/platform/callerconn_test.go
@@ -151,3 +151,25 @@
 		}
 	})
 }
+
+// TestMemoryParts checks how many connections and buffered bytes the settings allow.
+func TestMemoryParts(t *testing.T) {
+	for _, c := range []struct {
+		memoryMB, descriptors float64
+		connections           int
+		budget                int64
+	}{
+		{72, 4100, 307, 9 << 20},
+		{284, 4100, 1211, 284 << 17},
+		{284, 400, 200, 284 << 17},
+		{284, 0, 1211, 284 << 17},
+		{1, 4100, 64, 1 << 17},
+		{0, 4100, 2050, 64 << 20},
+	} {
+		p := &Params{}
+		p.Limits.MemoryMB, p.Limits.Descriptors = c.memoryMB, c.descriptors
+		if n, budget := p.MaxConnections(), p.MemoryBudget(); n != c.connections || budget != c.budget {
+			t.Errorf("%v MB, %v descriptors: %d connections, budget %d", c.memoryMB, c.descriptors, n, budget)
+		}
+	}
+}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -29,7 +29,7 @@
 	memoryBudgetDivisor = 8
 	// connectionsDivisor is the part of the memory that callers' connections may take, with
 	// connectionBytes for the buffers and the stacks of one.
-	connectionsDivisor = 4
+	connectionsDivisor = 5
 	connectionBytes    = 48 << 10
 	minConnections     = 64
 	// descriptorsDivisor is the part of the descriptors for callers' connections. The others are
