Quotas: a node that was dropped for its silence is known anew at its next report

What tenants saw: less than their quota, for as long as the edge that merges the counts runs. Cause: the collector looked a node up, then dropped the nodes that had been silent for too long, this one among them, and counted the report for the dropped one. Its counts stayed in the totals, and no later report could replace them. Change: silent nodes are dropped first; such a node is asked for a full report. Test: TestReportAfterSilence; failed on the code before (a report of changes taken from a node that is not known; one request counted that nobody holds).

--- a/internal/dataplane/quota/collector.go
+++ b/internal/dataplane/quota/collector.go
@@ -71,6 +71,7 @@
 	now := time.Now()
 	collector.mu.Lock()
 	defer collector.mu.Unlock()
+	collector.expire(now)
 	node := collector.nodes[id]
 	switch {
 	case node != nil && incarnation < node.incarnation:
@@ -79,7 +80,6 @@
 	case report.Table != 0 && (report.Table != collector.tableID || node == nil || node.incarnation != incarnation):
 		return &wire.QuotaNews{Resend: true}
 	}
-	collector.expire(now)
 	node = collector.update(node, id, incarnation, report, now)
 	answer := &wire.QuotaNews{Table: collector.tableID, Nodes: int32(max(len(fleet), len(collector.nodes)))}
 	view := collector.view(fleet, now)
