--- a/internal/dataplane/quota/collector.go
+++ b/internal/dataplane/quota/collector.go
@@ -44,7 +44,12 @@
 }
 
 // tenantTotal is the sum over all nodes, including silent nodes and ended incarnations.
-type tenantTotal struct{ admitted, requested float64 }
+type tenantTotal struct {
+	admitted, requested float64
+	// holders is the number of nodes and ended incarnations that have counts in the sum. The total
+	// exists as long as there are any, whatever its sums are.
+	holders int
+}
 
 // NewCollector returns a collector without any counts.
 func NewCollector(params Params) *Collector {
@@ -128,6 +133,7 @@
 	now time.Time,
 ) *reporter {
 	if node != nil && node.incarnation != incarnation {
+		// The ended incarnation holds the totals in place of the node.
 		collector.ended = append(collector.ended, endedIncarnation{node.use, now.Add(collector.params.Window)})
 		for tenant, use := range node.use {
 			collector.totals[tenant].requested -= float64(use.requested)
@@ -159,20 +165,34 @@
 
 // set replaces the counts of one tenant at a node and adjusts the totals.
 func (collector *Collector) set(node *reporter, tenant string, use tenantUse) {
-	sum := collector.totals[tenant]
-	if sum == nil {
-		sum = &tenantTotal{}
-		collector.totals[tenant] = sum
+	old, held := node.use[tenant]
+	if !held {
+		collector.hold(tenant)
 	}
-	old := node.use[tenant]
+	node.use[tenant] = use
+	sum := collector.totals[tenant]
 	sum.admitted += float64(use.admitted) - float64(old.admitted)
 	sum.requested += float64(use.requested) - float64(old.requested)
 	if use == (tenantUse{}) {
 		delete(node.use, tenant)
-	} else {
-		node.use[tenant] = use
+		collector.drop(tenant)
 	}
-	if sum.admitted == 0 && sum.requested == 0 {
+}
+
+// hold adds a holder to the total of a tenant.
+func (collector *Collector) hold(tenant string) {
+	sum := collector.totals[tenant]
+	if sum == nil {
+		sum = &tenantTotal{}
+		collector.totals[tenant] = sum
+	}
+	sum.holders++
+}
+
+// drop removes a holder, whose counts are no longer in the sums, from the total of a tenant.
+func (collector *Collector) drop(tenant string) {
+	sum := collector.totals[tenant]
+	if sum.holders--; sum.holders == 0 {
 		delete(collector.totals, tenant)
 	}
 }
@@ -187,10 +207,8 @@
 			continue
 		}
 		for tenant, use := range incarnation.use {
-			sum := collector.totals[tenant]
-			if sum.admitted -= float64(use.admitted); sum.admitted == 0 && sum.requested == 0 {
-				delete(collector.totals, tenant)
-			}
+			collector.totals[tenant].admitted -= float64(use.admitted)
+			collector.drop(tenant)
 		}
 	}
 	collector.ended = kept
--- a/internal/dataplane/quota/collector_test.go
+++ b/internal/dataplane/quota/collector_test.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,6 +43,7 @@
 			sum := want[tenant]
 			sum.admitted += float64(use.admitted)
 			sum.requested += float64(use.requested)
+			sum.holders++
 			want[tenant] = sum
 		}
 	}
@@ -48,6 +51,7 @@
 		for tenant, use := range incarnation.use {
 			sum := want[tenant]
 			sum.admitted += float64(use.admitted)
+			sum.holders++
 			want[tenant] = sum
 		}
 	}
@@ -61,6 +65,60 @@
 	}
 }
 
+// TestRefusedThenRestarted guards against the end of the process that merges the quotas' counts:
+// two edges that had only refused requests of a tenant started anew within a window, and the first
+// of their former incarnations to expire deleted the total that the second one counted in.
+func TestRefusedThenRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newCollectorRig(t)
+		for incarnation := range uint64(2) {
+			for _, id := range []string{"a", "b"} {
+				if incarnation == 0 {
+					r.report(id, incarnation, true, use("t", 0, 5))
+				} else {
+					r.report(id, incarnation, true)
+				}
+				r.check(fmt.Sprint(id, incarnation))
+			}
+		}
+		time.Sleep(DefaultParams.Window)
+		r.report("c", 0, true)
+		r.check("after a window")
+	})
+}
+
+// TestTotalsRecounted checks the totals against a recount after each of many random reports, starts,
+// silences and expiries.
+func TestTotalsRecounted(t *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			r := newCollectorRig(t)
+			incarnations := map[string]uint64{}
+			for step := range 250 {
+				id := string(rune('a' + random.IntN(4)))
+				var uses []*wire.TenantUse
+				for range random.IntN(4) {
+					admitted := uint32(random.IntN(3))
+					uses = append(uses, use(fmt.Sprint("t", random.IntN(3)), admitted, admitted+uint32(random.IntN(3))))
+				}
+				switch random.IntN(10) {
+				case 0:
+					incarnations[id]++
+				case 1:
+					time.Sleep(time.Duration(random.Int64N(int64(2 * DefaultParams.Window))))
+				case 2:
+					time.Sleep(DefaultParams.MaxSilence)
+				default:
+					time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+				}
+				r.report(id, incarnations[id], random.IntN(3) == 0, uses...)
+				r.check(fmt.Sprintf("seed %d, step %d", seed, step))
+			}
+		})
+	}
+}
+
 // TestReportAfterSilence guards against counts that stay for ever: the first report of a node that
 // had been silent for so long that it was dropped was counted for a node that was no longer there.
 func TestReportAfterSilence(t *testing.T) {
