--- a/internal/dataplane/edge/proxy.go
+++ b/internal/dataplane/edge/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"damsontiller/internal/coordination/metrics"
@@ -76,7 +77,12 @@
 		},
 	)
 	r.loadReport = loadreport.New(params.LoadReport, e.Node, r.Endpoints, r.load)
-	r.exchange = quota.NewExchange(params.Exchange, e.Node, r.quotas, quota.NewCollector(params.Quota))
+	collector := quota.NewCollector(params.Quota)
+	collector.OnFault = func(reason any) {
+		const line = "merging the quotas' counts failed, counting anew"
+		e.Log.Error(line, "reason", reason, "stack", string(debug.Stack()))
+	}
+	r.exchange = quota.NewExchange(params.Exchange, e.Node, r.quotas, collector)
 	e.proxy = r
 	return r
 }
--- a/internal/dataplane/quota/collector.go
+++ b/internal/dataplane/quota/collector.go
@@ -10,13 +10,16 @@
 
 // Collector merges the counts of all nodes that report to it. It is safe for concurrent use.
 type Collector struct {
-	params  Params
-	tableID uint64 // identifies this collector instance
+	params Params
+	// OnFault, if set, is called with the reason of a fault of the collector. It is set before the
+	// first report.
+	OnFault func(reason any)
 
-	mu     sync.Mutex
-	nodes  map[string]*reporter
-	ended  []endedIncarnation
-	totals map[string]*tenantTotal
+	mu      sync.Mutex
+	tableID uint64 // identifies the counts: it changes when they start anew
+	nodes   map[string]*reporter
+	ended   []endedIncarnation
+	totals  map[string]*tenantTotal
 	// constrained lists the tenants near their limits, as of checkedAt.
 	constrained []string
 	checkedAt   time.Time
@@ -53,11 +56,31 @@
 
 // NewCollector returns a collector without any counts.
 func NewCollector(params Params) *Collector {
-	return &Collector{
-		params:  params,
-		tableID: rand.Uint64() | 1,
-		nodes:   map[string]*reporter{},
-		totals:  map[string]*tenantTotal{},
+	collector := &Collector{params: params}
+	collector.reset()
+	return collector
+}
+
+// reset drops all counts. All nodes are then asked for full reports.
+func (collector *Collector) reset() {
+	collector.tableID = rand.Uint64() | 1
+	collector.nodes = map[string]*reporter{}
+	collector.ended = nil
+	collector.totals = map[string]*tenantTotal{}
+	collector.constrained = nil
+}
+
+// contain keeps a fault of the counts from ending the process, which carries requests. The counts
+// start anew, as they would in a new process.
+func (collector *Collector) contain(answer **wire.QuotaNews) {
+	reason := recover()
+	if reason == nil {
+		return
+	}
+	collector.reset()
+	*answer = &wire.QuotaNews{Resend: true}
+	if collector.OnFault != nil {
+		collector.OnFault(reason)
 	}
 }
 
@@ -72,10 +95,11 @@
 	report *wire.QuotaReport,
 	fleet Fleet,
 	limit func(tenant string) Limit,
-) *wire.QuotaNews {
+) (answer *wire.QuotaNews) {
 	now := time.Now()
 	collector.mu.Lock()
 	defer collector.mu.Unlock()
+	defer collector.contain(&answer)
 	collector.expire(now)
 	node := collector.nodes[id]
 	switch {
@@ -86,7 +110,7 @@
 		return &wire.QuotaNews{Resend: true}
 	}
 	node = collector.update(node, id, incarnation, report, now)
-	answer := &wire.QuotaNews{Table: collector.tableID, Nodes: int32(max(len(fleet), len(collector.nodes)))}
+	answer = &wire.QuotaNews{Table: collector.tableID, Nodes: int32(max(len(fleet), len(collector.nodes)))}
 	view := collector.view(fleet, now)
 	answer.Available = toCount(permille * (1 - view.unknownNodes/view.nodeCount))
 	collector.findConstrained(view, limit, now)
--- a/internal/dataplane/quota/collector_test.go
+++ b/internal/dataplane/quota/collector_test.go
@@ -140,3 +140,28 @@
 		}
 	})
 }
+
+// TestCollectorFault checks that a wrong state of the counts ends no process: they start anew, and
+// the next full reports are counted as ever.
+func TestCollectorFault(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newCollectorRig(t)
+		faults := 0
+		r.collector.OnFault = func(any) { faults++ }
+		r.report("a", 0, true, use("t", 1, 2))
+		r.report("b", 0, true, use("u", 1, 1))
+		former := r.collector.tableID
+		r.collector.totals["t"] = nil
+		if news := r.report("a", 0, false, use("t", 2, 3)); !news.Resend || faults != 1 || r.collector.tableID == former {
+			t.Errorf("%d faults, %+v", faults, news)
+		}
+		r.check("after the fault")
+		if news := r.report("a", 0, true, use("t", 2, 3)); news.Resend || faults != 1 {
+			t.Errorf("%d faults, %+v", faults, news)
+		}
+		if news := r.collector.Collect("b", 0, &wire.QuotaReport{Table: former}, nil, nil); !news.Resend {
+			t.Error("changes to counts that are gone were taken")
+		}
+		r.check("in the end")
+	})
+}
