Mutants of the bounds; the tests of turns and stalled calls catch two more

turn-without-end survived at first: the budget of the test ended the stream before the turn's own limit; TestEndlessTurn plays both now. frame-body-without-time hung until the test's timeout; TestStalledCall has a limit of its own.

--- a/internal/kit/proxytest/memory_test.go
+++ b/internal/kit/proxytest/memory_test.go
@@ -179,19 +179,27 @@
 }
 
 // TestEndlessTurn guards against a stored turn whose stream never ends: what is kept of it is
-// bounded, and its answer does not end as complete.
+// bounded, by the memory and by itself, and its answer does not end as complete.
 func TestEndlessTurn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		kept := &collecting{}
-		words := strings.Repeat("word ", 1000)
-		r, memory := memoryRig(t, streamOf(func(i int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i, words) }), kept)
-		defer r.stop()
-		x := r.ask(stream, "")
-		if !x.truncated || x.status != 200 || kept.kept > memoryLimit || x.took > 2*time.Second {
-			t.Errorf("status %d, cut %v, %d kept, after %s", x.status, x.truncated, kept.kept, x.took)
-		}
-		checkReleased(t, memory)
-	})
+	const mostKept = 2 << 20
+	for name, memory := range map[string]*membudget.Budget{"little memory": membudget.New(memoryLimit), "enough": nil} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kept := &collecting{}
+				words := strings.Repeat("word ", 1000)
+				backends := farm(1, func(p *proxytest.Params) {
+					p.Answer = streamOf(func(i int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i, words) })
+				})
+				r := newRigWith(t, proxy.DefaultPool, memory, backends, kept)
+				defer r.stop()
+				x := r.ask(stream, "")
+				if !x.truncated || x.status != 200 || kept.kept > mostKept || x.took > 2*time.Second {
+					t.Errorf("status %d, cut %v, %d kept, after %s", x.status, x.truncated, kept.kept, x.took)
+				}
+				checkReleased(t, memory)
+			})
+		})
+	}
 }
 
 // streamOf answers with a stream of up to 8 MiB in pieces, in one chunk.
--- a/internal/transport/memory_test.go
+++ b/internal/transport/memory_test.go
@@ -87,7 +87,9 @@
 		client := transport.NewClient(n.Host("b"), params, nil)
 		defer client.Close()
 		began := time.Now()
-		if b, err := client.Call(t.Context(), "s", make([]byte, limit/2)); err != nil || string(b) != "done" {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if b, err := client.Call(ctx, "s", make([]byte, limit/2)); err != nil || string(b) != "done" {
 			t.Errorf("%q, %v", b, err)
 		}
 		if waited := time.Since(began); waited > 20*time.Second {
