--- a/internal/transport/listen/limit_test.go
+++ b/internal/transport/listen/limit_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -16,9 +17,9 @@
 		t.Fatal(err)
 	}
 	var accepted []net.Conn
-	makeRoom := false
+	var makeRoom atomic.Bool
 	limited := Limit(plain, 2, func() {
-		if makeRoom {
+		if makeRoom.Load() {
 			accepted[0].Close()
 			accepted[0].Close()
 		}
@@ -51,10 +52,10 @@
 	if _, err := third.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("the third: %v", err)
 	}
-	makeRoom = true
+	makeRoom.Store(true)
 	dial()
 	<-taken
-	makeRoom = false
+	makeRoom.Store(false)
 	fifth := dial()
 	_ = fifth.SetReadDeadline(time.Now().Add(10 * time.Second))
 	if _, err := fifth.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
