--- a/internal/platform/discovery/discovery.go
+++ b/internal/platform/discovery/discovery.go
@@ -101,7 +101,7 @@
 	var out []endpoints.Runner
 	seen := map[string]bool{}
 	token := ""
-	bytesLeft := int64(maxListBytes)
+	bytesLeft, entriesLeft := int64(maxListBytes), maxRunners
 	for range maxPages {
 		p, size, err := r.read(ctx, token)
 		if err != nil {
@@ -110,7 +110,7 @@
 		if bytesLeft -= size; bytesLeft < 0 {
 			return nil, code.New(code.TooLarge, "list: more than %d bytes", maxListBytes)
 		}
-		if len(out)+len(p.Runners) > maxRunners {
+		if entriesLeft -= len(p.Runners); entriesLeft < 0 {
 			return nil, code.New(code.TooLarge, "list: more than %d runners", maxRunners)
 		}
 		for i := range p.Runners {
