--- a/internal/kit/sim/herd_test.go
+++ b/internal/kit/sim/herd_test.go
@@ -141,3 +141,105 @@
 	}
 	return all
 }
+
+const (
+	// unfinishedCores is the number of cores, and unfinishedEdges that of edges: with nine stores
+	// and cores 72 machines.
+	unfinishedCores = 7
+	unfinishedEdges = 62
+	// unfinishedTime is within which all machines serve the newest version.
+	unfinishedTime = 5 * time.Second
+)
+
+// TestNewestVersionAtAMinority: all machines start at once under slow cores, of which those that
+// hold the newest version are no majority once one has lost its disk; all serve it in time.
+func TestNewestVersionAtAMinority(t *testing.T) {
+	t.Parallel()
+	for _, callTime := range []time.Duration{200 * time.Microsecond, time.Millisecond, 2 * time.Millisecond} {
+		for _, wiped := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%s a call, %d disks lost", callTime, wiped), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { newestAtAMinority(t, callTime, wiped) })
+			})
+		}
+	}
+}
+
+// newestAtAMinority leaves a version at few cores, ends all machines, takes the disks of some
+// holders and starts all at once.
+func newestAtAMinority(t *testing.T, callTime time.Duration, wiped int) {
+	ctx, stop := context.WithCancel(t.Context())
+	s, err := sim.New(sim.Params{
+		Deploy: "../../../deploy/andina", Seed: 1, Edges: unfinishedEdges, Found: true, Spares: 2, CoreCallTime: callTime,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		stop()
+		s.Stop()
+	}()
+	if err := s.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"c4", "c5", "c6", "c7"} {
+		if err := s.Up(ctx, id, false); err != nil {
+			t.Fatal(err)
+		}
+		s.Get(id).Spare = false
+	}
+	if !sim.Until(time.Minute, func() bool {
+		view := s.Cluster()
+		return len(view.Cluster.Cores) == unfinishedCores && len(view.NextCores) == 0
+	}) {
+		t.Fatalf("the cores are %v", s.Cluster().Cluster.Cores)
+	}
+	if _, _, err := s.Core("c1").Cluster.Change(ctx, 0, largeTable); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(5 * time.Second)
+	version := leaveVersion(ctx, t, s)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	machines := inUse(s)
+	for _, m := range machines {
+		s.PowerOff(m.ID, rnd)
+	}
+	time.Sleep(2 * time.Second)
+	for i := range wiped {
+		s.Wipe(fmt.Sprintf("c%d", i+1))
+	}
+	began := time.Now()
+	for _, m := range machines {
+		if err := s.Up(ctx, m.ID, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for time.Since(began) < 4*unfinishedTime && members(s, version) < len(machines) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Logf("%d of %d machines are back after %s, %d serve", members(s, version), len(machines), time.Since(began), members(s, 0))
+	if took := time.Since(began); took > unfinishedTime {
+		t.Errorf("%d of %d machines are back after %s", members(s, version), len(machines), took)
+	}
+}
+
+// leaveVersion has a change of c1 accepted by four of the seven cores only, which is the smallest
+// majority, and returns its version.
+func leaveVersion(ctx context.Context, t *testing.T, s *sim.Sim) uint64 {
+	t.Helper()
+	raiseGuard := func(c *spec.Cluster) error {
+		c.Table.Paths[0].GuardMs++
+		return nil
+	}
+	if _, _, err := s.Core("c1").Cluster.Change(ctx, 0, raiseGuard); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"c5", "c6", "c7"} {
+		s.Freeze(id)
+	}
+	version, _, err := s.Core("c1").Cluster.Change(ctx, 0, raiseGuard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return version
+}
--- a/internal/kit/sim/machine.go
+++ b/internal/kit/sim/machine.go
@@ -146,6 +146,9 @@
 		return err
 	}
 	l.core, l.node, l.start = c, c.Node, c.Start
+	if s.coreCallTime > 0 {
+		c.Peer.Processor = newProcessor(s.coreCallTime)
+	}
 	c.Routes(l.web)
 	(&control.Handler{Core: c, Sets: c}).Routes(l.web)
 	return nil
--- a/internal/kit/sim/sim.go
+++ b/internal/kit/sim/sim.go
@@ -52,6 +52,8 @@
 	seeds   []string // of machines started from now on; none: the first cores
 	point   func(string, job.Point, *job.Ctx)
 	made    func(string, *edge.Edge)
+	// coreCallTime is the processor time of a small call at a core.
+	coreCallTime time.Duration
 	// away is when a machine was last out of the others' reach. What it has in
 	// force then can't be acted on, so the spec it would name is no evidence; it
 	// has the usual two seconds from its return.
@@ -77,6 +79,8 @@
 	Found  bool      // the sets form by themselves, from the addresses of c1, c2 and c3
 	Raw    int       // so many stand-ins for proxied requests; with none, edges take no proxied requests
 	Spares int       // more machines of each counted role that a test may start later
+	// CoreCallTime is the processor time of a small call at a core; 0: calls take none.
+	CoreCallTime time.Duration
 	// Point is called at each numbered point of a job's way at an edge.
 	Point func(edge string, p job.Point, c *job.Ctx)
 	// Edge is called with each edge made, before it starts.
@@ -103,6 +107,7 @@
 		found:           p.Found,
 		point:           p.Point,
 		made:            p.Edge,
+		coreCallTime:    p.CoreCallTime,
 	}
 	if p.Log || os.Getenv("SIM_LOG") != "" {
 		s.Log = hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: os.Stderr})
--- /dev/null
+++ b/internal/proto/register/herd_test.go
@@ -0,0 +1,262 @@
+package register_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damsontiller/internal/proto/register"
+	"damsontiller/internal/proto/wire"
+)
+
+const (
+	// herdBound is within which all readers have read the value.
+	herdBound = 5 * time.Second
+	// readTimeout bounds one read; a reader tries again after it.
+	readTimeout = time.Second
+	maxTransit  = 500 * time.Microsecond // of a request or a reply
+	herdVoters  = 8
+	// giveUpAfter is how long readers try.
+	giveUpAfter = 4 * herdBound
+)
+
+// busyVoters are acceptors that serve one request at a time, in order of arrival. A request whose
+// caller has given up is dropped unserved.
+type busyVoters struct {
+	acceptors map[string]*register.Acceptor
+	queues    map[string]chan busyRequest
+	random    *rand.Rand
+	mu        sync.Mutex
+	served    int
+}
+
+type busyRequest struct {
+	ctx   context.Context
+	op    *wire.Req
+	reply chan busyReply
+}
+
+type busyReply struct {
+	resp *wire.Resp
+	err  error
+}
+
+func newBusyVoters(ctx context.Context, service time.Duration, seed uint64) (*busyVoters, register.Set) {
+	voters := &busyVoters{
+		acceptors: map[string]*register.Acceptor{},
+		queues:    map[string]chan busyRequest{},
+		random:    rand.New(rand.NewPCG(seed, 1)),
+	}
+	var group []register.Replica
+	for i := range herdVoters {
+		addr := fmt.Sprintf("a%d", i)
+		voters.acceptors[addr] = register.NewAcceptor(newModelDisk())
+		voters.queues[addr] = make(chan busyRequest, 1<<16)
+		group = append(group, register.Replica{Addr: addr, Ident: "id-" + addr})
+		go voters.serve(ctx, addr, service)
+	}
+	return voters, register.Set{group}
+}
+
+func (v *busyVoters) serve(ctx context.Context, addr string, service time.Duration) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case request := <-v.queues[addr]:
+			if request.ctx.Err() != nil {
+				continue
+			}
+			time.Sleep(service)
+			view, err := v.acceptors[addr].Answer(request.op)
+			v.mu.Lock()
+			v.served++
+			v.mu.Unlock()
+			request.reply <- busyReply{&wire.Resp{Op: &wire.Resp_View{View: view}}, err}
+		}
+	}
+}
+
+func (v *busyVoters) transit() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Duration(v.random.Int64N(int64(maxTransit)))
+}
+
+func (v *busyVoters) call(ctx context.Context, addr string, op *wire.Req) (*wire.Resp, error) {
+	time.Sleep(v.transit())
+	reply := make(chan busyReply, 1)
+	v.queues[addr] <- busyRequest{ctx, op, reply}
+	select {
+	case r := <-reply:
+		time.Sleep(v.transit())
+		return r.resp, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// leave has a change accepted by so many of the voters only, as its proposer dies.
+func (v *busyVoters) leave(t *testing.T, set register.Set, holders int) {
+	t.Helper()
+	proposer := register.NewProposer(1, func(_ context.Context, addr string, op *wire.Req) (*wire.Resp, error) {
+		if op.Accept() != nil && addr >= fmt.Sprintf("a%d", holders) {
+			return nil, errors.New("lost")
+		}
+		view, err := v.acceptors[addr].Answer(op)
+		return &wire.Resp{Op: &wire.Resp_View{View: view}}, err
+	})
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer stop()
+	if _, err := proposer.Change(ctx, set, "k", setTo("newest")); err == nil {
+		t.Fatal("the change was chosen")
+	}
+}
+
+// prepareAndDie has a proposer prepare a ballot at all voters and end there.
+func (v *busyVoters) prepareAndDie(t *testing.T) {
+	t.Helper()
+	ballot := &wire.Ballot{N: uint64(time.Now().UnixMilli()) + 1, Node: 2}
+	for _, acceptor := range v.acceptors {
+		if _, err := acceptor.Prepare(&wire.Prep{Key: "k", Ballot: ballot}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// herdFault is what happens to readers while they complete the value.
+type herdFault int
+
+const (
+	noFault       herdFault = iota
+	preparedFault           // a proposer has prepared a higher ballot everywhere and died
+	dyingFault              // readers that prepare a ballot die before their accept request
+	frozenFault             // readers stand still between their prepare and their accept request
+)
+
+const (
+	// mostFaulty is the number of proposers that die or stand still.
+	mostFaulty = 4
+	frozenFor  = 3 * time.Second
+)
+
+// faultyReaders decides which readers die or stand still.
+type faultyReaders struct {
+	mu     sync.Mutex
+	kind   herdFault
+	struck map[int]time.Time // readers, and when they go on; zero if never
+}
+
+// strike is called before a reader sends a request, with the ballots that it has prepared. It
+// delays a reader that stands still, and reports whether the reader is dead.
+func (f *faultyReaders) strike(reader int, op *wire.Req, prepared map[uint64]bool) bool {
+	f.mu.Lock()
+	if op.GetPrep() != nil {
+		prepared[op.GetPrep().Ballot.N] = true
+	}
+	until, struck := f.struck[reader]
+	if !struck && f.kind >= dyingFault && len(f.struck) < mostFaulty &&
+		op.Accept() != nil && prepared[op.Accept().Ballot.N] {
+		struck = true
+		if f.kind == frozenFault {
+			until = time.Now().Add(frozenFor)
+		}
+		f.struck[reader] = until
+	}
+	f.mu.Unlock()
+	if struck && !until.IsZero() {
+		time.Sleep(time.Until(until))
+	}
+	return struck && until.IsZero()
+}
+
+func (f *faultyReaders) dead(reader int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	until, struck := f.struck[reader]
+	return struck && until.IsZero()
+}
+
+// herd has readers read a value at once that few voters hold, and returns when the last one that
+// lives has read it or has given up.
+func herd(t *testing.T, readers int, service time.Duration, kind herdFault, seed uint64) (last time.Duration, served int) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer synctest.Wait()
+	defer stop()
+	voters, set := newBusyVoters(ctx, service, seed)
+	voters.leave(t, set, herdVoters/2)
+	if kind != noFault {
+		voters.prepareAndDie(t)
+	}
+	faulty := &faultyReaders{kind: kind, struck: map[int]time.Time{}}
+	began := time.Now()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for reader := range readers {
+		wg.Go(func() {
+			prepared := map[uint64]bool{}
+			proposer := register.NewProposer(uint64(100+reader), func(ctx context.Context, addr string, op *wire.Req) (*wire.Resp, error) {
+				if faulty.strike(reader, op, prepared) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				return voters.call(ctx, addr, op)
+			})
+			random := rand.New(rand.NewPCG(seed, uint64(reader)))
+			proposer.Random = func() uint64 { return random.Uint64() }
+			for time.Since(began) < giveUpAfter {
+				readCtx, stopRead := context.WithTimeout(ctx, readTimeout)
+				state, err := proposer.Read(readCtx, set, "k")
+				stopRead()
+				if faulty.dead(reader) {
+					return
+				}
+				if err == nil {
+					if string(state.Value) != "newest" {
+						t.Errorf("read %q", state.Value)
+					}
+					break
+				}
+			}
+			mu.Lock()
+			last = max(last, time.Since(began))
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	// Requests that their senders no longer wait for reach the voters.
+	time.Sleep(frozenFor + readTimeout)
+	return last, voters.served
+}
+
+// TestReadersOutbidEachOther: readers that all find the newest value at a minority of the voters
+// that answer complete it together, whatever becomes of those that propose.
+func TestReadersOutbidEachOther(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault herdFault
+	}{{"none", noFault}, {"prepared", preparedFault}, {"dying", dyingFault}, {"frozen", frozenFault}} {
+		for _, service := range []time.Duration{200 * time.Microsecond, time.Millisecond, 5 * time.Millisecond} {
+			for _, readers := range []int{72, 450} {
+				if service*time.Duration(readers) > herdBound/4 {
+					// The voters alone take longer for the requests of one attempt.
+					continue
+				}
+				t.Run(fmt.Sprintf("%s/%s/%d", tc.name, service, readers), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						last, served := herd(t, readers, service, tc.fault, 1)
+						t.Logf("the last reader has read after %s, the voters have served %d requests", last, served)
+						if last > herdBound {
+							t.Errorf("the last reader has read after %s, at most %s is allowed", last, herdBound)
+						}
+					})
+				})
+			}
+		}
+	}
+}
