--- a/internal/coordination/metrics/metrics.go
+++ b/internal/coordination/metrics/metrics.go
@@ -64,6 +64,7 @@
 		total("messages_sent_total", "Messages sent to other processes.", n.MessagesSent),
 		total("register_rounds_total", "Rounds of the register asked for.", n.Register.Rounds),
 		total("register_proposals_total", "Ballots prepared for reads and changes of registers.", n.Register.Proposals),
+		total("register_completions_total", "Reads that completed another's change.", n.Register.Completions),
 		total("register_refused_total", "Attempts refused for another proposer's higher ballot.", n.Register.Refused),
 	}
 }
--- a/internal/dataplane/store/repair.go
+++ b/internal/dataplane/store/repair.go
@@ -207,14 +207,13 @@
 	}
 	err = s.acceptor.Adopt(row.Key, r.GetView())
 	if code.Of(err) == code.OldBallot {
-		// A higher ballot was promised here since, so only a new round of the protocol
-		// may write the value.
+		// A higher ballot was promised here since, and may have chosen a newer value.
 		cctx, stop := context.WithTimeout(ctx, 2*time.Second)
 		defer stop()
 		// The version is pinned: a round under a replaced store set could overwrite
 		// newer values of the present one.
 		v := s.Cluster.Now()
-		_, err = s.Proposer.Change(register.WithVersion(cctx, v.Version, false), v.Stores(row.Key), row.Key, nil)
+		_, err = s.Proposer.Read(register.WithVersion(cctx, v.Version, false), v.Stores(row.Key), row.Key)
 	}
 	return err == nil, err
 }
--- a/internal/proto/register/acceptor.go
+++ b/internal/proto/register/acceptor.go
@@ -168,6 +168,11 @@
 	if wire.CompareBallots(request.Ballot, record.Promised) < 0 {
 		return a.withoutValue(request.Key, record), code.New(code.OldBallot, "promised %d", record.Promised.GetN())
 	}
+	if wire.CompareBallots(request.Ballot, record.Accepted) == 0 && !record.Copied &&
+		wire.CompareBallots(request.Next, record.Promised) <= 0 {
+		// A copy of a request that was accepted before.
+		return a.withoutValue(request.Key, record), nil
+	}
 	cell := request.Cell
 	if len(request.CompressedValue) > 0 {
 		value, err := wire.Decompress(request.CompressedValue)
--- a/internal/proto/register/change.go
+++ b/internal/proto/register/change.go
@@ -43,8 +43,7 @@
 // may be chosen now or later, or the error of update.
 func (p *Proposer) Change(ctx context.Context, set Set, key string, update UpdateFunc) (State, error) {
 	defer p.queues.acquire(ctx, key, p.RoundTimeout)()
-	// 49 bits, so that the id takes at most seven bytes as a varint: a cell carries many ids.
-	c := &change{proposer: p, set: set, key: key, update: update, operation: p.Random()>>15 | 1}
+	c := p.newChange(set, key, update)
 	if state, chosen := c.changeInOneRound(ctx); chosen {
 		p.attemptSucceeded(key)
 		return state, nil
@@ -53,30 +52,47 @@
 		if attempt > 0 && !loop.Wait(ctx, p.retryPause(attempt)) || ctx.Err() != nil {
 			return c.fail(fmt.Errorf("%w: %w", ErrNoQuorum, ctx.Err()))
 		}
-		ballot, replies, err := p.prepare(ctx, set, key)
-		if code.Of(err) == code.StaleSpec {
-			// Retrying is useless, since the same voters would refuse again.
-			return c.fail(fmt.Errorf("%w: %w", ErrNoQuorum, err))
-		}
-		if replies == nil {
-			continue
-		}
-		newest, holders := newestAccepted(replies)
-		if p.fillValue(ctx, key, newest.View, holders) != nil {
-			continue
-		}
-		proposed, err := c.propose(newest, holders)
-		if err != nil {
-			return c.fail(err)
-		}
-		proposed.acceptsCompressed = votersAcceptingCompressed(replies)
-		if proposed.cell == nil || set.Quorum(proposed.holders) || c.acceptProposal(ctx, ballot, proposed) {
-			p.attemptSucceeded(key)
-			return proposed.state, proposed.updateErr
+		if state, done, err := c.attempt(ctx); done {
+			return state, err
 		}
 	}
 }
 
+// newChange returns a change of a key that has not been attempted.
+func (p *Proposer) newChange(set Set, key string, update UpdateFunc) *change {
+	// 49 bits, so that the id takes at most seven bytes as a varint: a cell carries many ids.
+	return &change{proposer: p, set: set, key: key, update: update, operation: p.Random()>>15 | 1}
+}
+
+// attempt runs both rounds once. It reports whether the change is done or has failed for good.
+func (c *change) attempt(ctx context.Context) (state State, done bool, err error) {
+	p := c.proposer
+	ballot, replies, err := p.prepare(ctx, c.set, c.key)
+	if code.Of(err) == code.StaleSpec {
+		// Retrying is useless, since the same voters would refuse again.
+		state, err = c.fail(fmt.Errorf("%w: %w", ErrNoQuorum, err))
+		return state, true, err
+	}
+	if replies == nil {
+		return State{}, false, nil
+	}
+	newest, holders := newestAccepted(replies)
+	if p.fillValue(ctx, c.key, newest.View, holders) != nil {
+		return State{}, false, nil
+	}
+	proposed, err := c.propose(newest, holders)
+	if err != nil {
+		state, err = c.fail(err)
+		return state, true, err
+	}
+	proposed.acceptsCompressed = votersAcceptingCompressed(replies)
+	if proposed.cell == nil || c.set.Quorum(proposed.holders) || c.acceptProposal(ctx, ballot, proposed) {
+		p.attemptSucceeded(c.key)
+		return proposed.state, true, proposed.updateErr
+	}
+	return State{}, false, nil
+}
+
 // fail returns the error of a change that was not observed to be chosen.
 func (c *change) fail(err error) (State, error) {
 	if c.maybeAccepted {
@@ -119,6 +135,8 @@
 	holders   map[Replica]bool // voters that have already accepted the cell
 	isNew     bool             // the cell contains a new change by this proposer
 	updateErr error            // error of the update function
+	// alreadyAccepted holds the voters that have accepted the cell under the ballot to be sent.
+	alreadyAccepted map[Replica]bool
 	// acceptsCompressed holds the voters that accept AccCompressed.
 	acceptsCompressed map[Replica]bool
 }
--- a/internal/proto/register/contention.go
+++ b/internal/proto/register/contention.go
@@ -41,6 +41,11 @@
 type spell struct {
 	Contention
 	reported bool
+	// A read may propose a ballot of its own at proposeAt if the highest promised ballot is then
+	// still awaited. collisions counts the ballots that were awaited before it.
+	awaited    *wire.Ballot
+	proposeAt  time.Time
+	collisions int
 }
 
 // get returns the spell of a key, which begins now if there is none. The caller holds mu.
@@ -93,6 +98,37 @@
 	}
 }
 
+const (
+	// minProposalWindow and maxProposalWindow bound the time from which the start of a proposal is
+	// drawn.
+	minProposalWindow = 10 * time.Millisecond
+	maxProposalWindow = 2 * time.Second
+	// awaitedRounds is the time that the proposer of an awaited ballot has for its accept request,
+	// in rounds.
+	awaitedRounds = 2
+)
+
+// untilProposal returns how long a read has to wait before it may propose a ballot of its own, given
+// the highest ballot that voters have promised and the time that a round takes; 0 means now. As in
+// carrier sensing with exponential backoff, a read first lets the proposer of that ballot finish
+// for a random time, whose range doubles each time another proposer is at work.
+func (p *Proposer) untilProposal(key string, promised *wire.Ballot, roundTime time.Duration) time.Duration {
+	now := time.Now()
+	p.contentions.mu.Lock()
+	defer p.contentions.mu.Unlock()
+	s := p.contentions.get(key)
+	if s.proposeAt.IsZero() || wire.CompareBallots(promised, s.awaited) > 0 {
+		window := min(max(roundTime, minProposalWindow)<<min(s.collisions, maxCollisions), maxProposalWindow)
+		s.awaited = promised
+		s.proposeAt = now.Add(awaitedRounds*roundTime + time.Duration(p.Random()%uint64(window)))
+		s.collisions++
+	}
+	return s.proposeAt.Sub(now)
+}
+
+// maxCollisions bounds the doublings of the window.
+const maxCollisions = 10
+
 // attemptSucceeded ends the spell of a key.
 func (p *Proposer) attemptSucceeded(key string) {
 	p.contentions.mu.Lock()
@@ -114,11 +150,16 @@
 }
 
 // Counts are totals of a proposer since its start.
-type Counts struct{ Rounds, Proposals, Refused uint64 }
+type Counts struct{ Rounds, Proposals, Refused, Completions uint64 }
 
 // Counts returns the proposer's totals.
 func (p *Proposer) Counts() Counts {
-	return Counts{Rounds: p.Rounds.Load(), Proposals: p.Proposals.Load(), Refused: p.Refused.Load()}
+	return Counts{
+		Rounds:      p.Rounds.Load(),
+		Proposals:   p.Proposals.Load(),
+		Refused:     p.Refused.Load(),
+		Completions: p.Completions.Load(),
+	}
 }
 
 // Node returns the node number of the proposer's ballots.
--- a/internal/proto/register/herd_test.go
+++ b/internal/proto/register/herd_test.go
@@ -12,6 +12,7 @@
 
 	"damsontiller/internal/proto/register"
 	"damsontiller/internal/proto/wire"
+	"damsontiller/internal/transport/code"
 )
 
 const (
@@ -260,3 +261,92 @@
 		}
 	}
 }
+
+// TestCompletedUnderItsBallot: a read completes the newest value under the ballot that it was
+// accepted under; its age is that of the majority.
+func TestCompletedUnderItsBallot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		voters, set := newBusyVoters(ctx, time.Microsecond, 1)
+		voters.leave(t, set, herdVoters/2)
+		before, err := voters.acceptors["a0"].Read(&wire.Look{Key: "k"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		proposer := register.NewProposer(3, voters.call)
+		state, err := proposer.Read(ctx, set, "k")
+		if err != nil || string(state.Value) != "newest" || state.Age != 0 {
+			t.Errorf("%q of age %s, %v", state.Value, state.Age, err)
+		}
+		time.Sleep(time.Second)
+		for addr, acceptor := range voters.acceptors {
+			after, err := acceptor.Read(&wire.Look{Key: "k"})
+			if err != nil || wire.CompareBallots(after.Accepted, before.Accepted) != 0 {
+				t.Errorf("%s has accepted %v, not %v; %v", addr, after.Accepted, before.Accepted, err)
+			}
+		}
+		if counts := proposer.Counts(); counts.Proposals != 0 || counts.Completions != 1 {
+			t.Errorf("%d proposals, %d completions", counts.Proposals, counts.Completions)
+		}
+	})
+}
+
+// TestExpiredCopyNotCompleted: a value that one of its holders has expired is not accepted again
+// under its ballot, where the others would hold another cell.
+func TestExpiredCopyNotCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		voters, set := newBusyVoters(ctx, time.Microsecond, 1)
+		voters.leave(t, set, herdVoters/2)
+		expired := func(*wire.Rec) (bool, bool) { return true, false }
+		if _, err := voters.acceptors["a0"].Expire("k", expired, nil); err != nil {
+			t.Fatal(err)
+		}
+		before, err := voters.acceptors["a0"].Read(&wire.Look{Key: "k"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		proposer := register.NewProposer(3, voters.call)
+		state, err := proposer.Read(ctx, set, "k")
+		if err != nil || !state.Expired || len(state.Value) > 0 {
+			t.Errorf("%q, expired %t, %v", state.Value, state.Expired, err)
+		}
+		time.Sleep(time.Second)
+		for addr, acceptor := range voters.acceptors {
+			after, err := acceptor.Read(&wire.Look{Key: "k"})
+			if err != nil || !after.Cell.GetPast() || wire.CompareBallots(after.Accepted, before.Accepted) <= 0 {
+				t.Errorf("%s has %v under %v, %v", addr, after.Cell, after.Accepted, err)
+			}
+		}
+	})
+}
+
+// TestCopyOfAcceptedRequest: an accept request that arrives again is answered without a write, and
+// still promises the ballot that it names.
+func TestCopyOfAcceptedRequest(t *testing.T) {
+	disk := newModelDisk()
+	acceptor := register.NewAcceptor(disk)
+	ballot, next := &wire.Ballot{N: 5, Node: 1}, &wire.Ballot{N: 6, Node: 1}
+	request := &wire.Acc{Key: "k", Ballot: ballot, Cell: &wire.Cell{Ver: 1, Val: []byte("v")}}
+	if _, err := acceptor.Accept(request); err != nil {
+		t.Fatal(err)
+	}
+	disk.nextSave = saveNothing
+	if _, err := acceptor.Accept(request); err != nil || disk.failed > 0 {
+		t.Errorf("written again: %v", err)
+	}
+	disk.nextSave = saveSynced
+	withNext := &wire.Acc{Key: "k", Ballot: ballot, Cell: request.Cell, Next: next}
+	view, err := acceptor.Accept(withNext)
+	if err != nil || wire.CompareBallots(view.Promised, next) != 0 {
+		t.Errorf("promised %v, %v", view.GetPromised(), err)
+	}
+	view, err = acceptor.Accept(request)
+	if code.Of(err) != code.OldBallot || wire.CompareBallots(view.GetAccepted(), ballot) != 0 {
+		t.Errorf("accepted %v, %v", view.GetAccepted(), err)
+	}
+}
--- a/internal/proto/register/proposer.go
+++ b/internal/proto/register/proposer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -58,6 +57,8 @@
 	// Proposals counts the ballots prepared, and Refused the attempts in which a voter had
 	// promised a higher ballot to another proposer.
 	Proposals, Refused atomic.Uint64
+	// Completions counts the reads that repeated another proposer's accept request.
+	Completions atomic.Uint64
 	// OnContention is called once for a key whose reads or changes have not completed for
 	// contentionReportAfter, and again when they complete. It is set before the first call.
 	OnContention func(Contention)
@@ -85,39 +86,6 @@
 	}
 }
 
-// Read performs a linearizable read at a majority. If no majority is seen to have accepted the
-// value, Read first writes it back, so that no later read can miss it. It returns an error that
-// wraps ErrNoQuorum if too few voters answered.
-func (p *Proposer) Read(ctx context.Context, set Set, key string) (State, error) {
-	known := p.values.ballot(key)
-	request := func(Replica) *wire.Req {
-		read := &wire.Look{Key: key, Known: known, Head: true, AcceptsCompressed: true}
-		return &wire.Req{Op: &wire.Req_Look{Look: read}}
-	}
-	// If the round ended at the first quorum, a lagging voter would cause every reader to write
-	// the value back. The round therefore waits briefly for up-to-date voters.
-	replies := p.round(ctx, set, request, func(replies []reply) bool {
-		_, holders := newestAccepted(replies)
-		return set.Quorum(holders)
-	})
-	if !set.Quorum(succeeded(replies)) {
-		p.attemptFailed(set, key, false, replies)
-		return State{}, fmt.Errorf("read %s: %w: %w", key, ErrNoQuorum, firstError(replies))
-	}
-	newest, holders := newestAccepted(replies)
-	if set.Quorum(holders) && p.fillValue(ctx, key, newest.View, holders) == nil {
-		p.attemptSucceeded(key)
-		return stateOf(newest), nil
-	}
-	p.attemptFailed(set, key, false, replies)
-	state, err := p.Change(ctx, set, key, nil)
-	if errors.Is(err, ErrUncertain) {
-		// A write-back changes nothing, so an uncertain one is only a failed read.
-		err = fmt.Errorf("read %s: %w", key, ErrNoQuorum)
-	}
-	return state, err
-}
-
 // prepare runs the first round. It returns no replies if there is no quorum.
 func (p *Proposer) prepare(ctx context.Context, set Set, key string) (*wire.Ballot, []reply, error) {
 	ballot, known := p.ballot(), p.values.ballot(key)
@@ -141,7 +109,8 @@
 }
 
 // accept runs the second round and asks the voters to promise next with it. It returns once
-// sufficient reports true, or all voters have answered.
+// sufficient reports true, or all voters have answered. Voters that have accepted it under
+// this ballot are not asked.
 func (p *Proposer) accept(
 	ctx context.Context,
 	set Set,
@@ -152,6 +121,9 @@
 ) []reply {
 	compressed := proposed.compressedRequest(key, ballot, next)
 	replies := p.round(ctx, set, func(to Replica) *wire.Req {
+		if proposed.alreadyAccepted[to] {
+			return nil
+		}
 		if compressed != nil && proposed.acceptsCompressed[to] {
 			return &wire.Req{Op: &wire.Req_AccCompressed{AccCompressed: compressed}}
 		}
--- a/internal/proto/register/round.go
+++ b/internal/proto/register/round.go
@@ -36,7 +36,7 @@
 // quorum has answered or has become impossible.
 const minStragglerWait = 20 * time.Millisecond
 
-// round sends a request to every voter and returns once sufficient reports true for the
+// round sends a request to every voter for which request returns one, and returns once sufficient reports true for the
 // replies, or all voters have answered. When a quorum is no longer possible, or has answered
 // and is not sufficient, it waits for the remaining voters only for as long again as the round
 // has taken so far: if every voter has refused, it is certain that none has accepted, and a
@@ -47,16 +47,16 @@
 	request func(to Replica) *wire.Req,
 	sufficient func(replies []reply) bool,
 ) []reply {
-	voters := set.All()
-	if len(voters) == 0 {
+	messages := newMessages(set, request)
+	if len(messages) == 0 {
 		return nil
 	}
 	p.Rounds.Add(1)
-	incoming, timedOut := p.sendAll(ctx, voters, request)
-	replies := make([]reply, 0, len(voters))
+	incoming, timedOut := p.sendAll(ctx, messages)
+	replies := make([]reply, 0, len(messages))
 	sentAt := time.Now()
 	var stragglerTimeout <-chan time.Time
-	for range voters {
+	for range messages {
 		select {
 		case r := <-incoming:
 			if replies = append(replies, r); sufficient(replies) {
@@ -80,25 +80,40 @@
 	return replies
 }
 
-// sendAll sends the request to every voter. The calls outlive an early return of the caller, so
+// message is a request to one voter.
+type message struct {
+	to      Replica
+	request *wire.Req
+}
+
+// newMessages returns a message to every voter for which request returns one.
+func newMessages(set Set, request func(to Replica) *wire.Req) []message {
+	var messages []message
+	for _, voter := range set.All() {
+		if r := request(voter); r != nil {
+			messages = append(messages, message{voter, r})
+		}
+	}
+	return messages
+}
+
+// sendAll sends the messages. The calls outlive an early return of the caller, so
 // that slow voters still receive the request. timedOut is closed when the calls have ended or
 // timed out.
 func (p *Proposer) sendAll(
 	ctx context.Context,
-	voters []Replica,
-	request func(to Replica) *wire.Req,
+	messages []message,
 ) (replies <-chan reply, timedOut <-chan struct{}) {
-	received := make(chan reply, len(voters))
+	received := make(chan reply, len(messages))
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.RoundTimeout)
 	shared := &sharedCancel{cancel: cancel}
-	shared.pending.Store(int32(len(voters)))
-	for _, r := range voters {
-		message := request(r)
-		message.Ident = r.Ident
-		SetVersion(ctx, message)
+	shared.pending.Store(int32(len(messages)))
+	for _, m := range messages {
+		m.request.Ident = m.to.Ident
+		SetVersion(ctx, m.request)
 		go func() {
-			resp, err := p.call(callCtx, r.Addr, message)
-			received <- reply{r, resp, err}
+			resp, err := p.call(callCtx, m.to.Addr, m.request)
+			received <- reply{m.to, resp, err}
 			shared.done()
 		}()
 	}
