Admission: reads of the cluster's register pass like its votes

Cause: votes on the cluster's register and renewals are never refused for their waiting time, but reads of it counted as requests of clients and were refused once calls waited for 75 ms: a core that renewals kept busy let nobody read the spec. Change: reads of the cluster's register are in the class of its votes.

--- a/internal/coordination/peer/admission.go
+++ b/internal/coordination/peer/admission.go
@@ -18,6 +18,8 @@
 		return voteClass(op.Prep.GetKey())
 	case *wire.Req_Acc, *wire.Req_AccCompressed:
 		return voteClass(request.Accept().GetKey())
+	case *wire.Req_Look:
+		return voteClass(op.Look.GetKey())
 	case *wire.Req_News, *wire.Req_Digest, *wire.Req_Members, *wire.Req_Deal, *wire.Req_Tell, *wire.Req_Fill:
 		return admission.Acknowledgements
 	case *wire.Req_Hello:
@@ -30,7 +32,8 @@
 	return admission.Requests
 }
 
-// voteClass separates votes on the register of the cluster from votes on all other registers.
+// voteClass separates votes on the register of the cluster and reads of it from those of all other
+// registers: a node that joins must be able to read the cluster however many have joined.
 func voteClass(key string) admission.Class {
 	if key == keys.Cluster {
 		return admission.Control
--- a/internal/coordination/peer/peer_test.go
+++ b/internal/coordination/peer/peer_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"damsontiller/internal/coordination/peer"
+	"damsontiller/internal/proto/keys"
 	"damsontiller/internal/proto/wire"
 	"damsontiller/internal/transport"
 	"damsontiller/internal/transport/code"
@@ -110,3 +113,66 @@
 		}
 	})
 }
+
+// busyProcessor takes a fixed time for each part of a call, one after another.
+type busyProcessor struct{ turn chan struct{} }
+
+func (p busyProcessor) Run(context.Context, int) {
+	p.turn <- struct{}{}
+	time.Sleep(5 * time.Millisecond)
+	<-p.turn
+}
+
+// TestSpecReadWhileOverloaded: a process that renewals keep busy still serves reads of the cluster's
+// register, without which no node joins, and refuses those of other registers.
+func TestSpecReadWhileOverloaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(1)
+		a := peer.New(
+			&wire.Member{Id: "a", Addr: "a", Role: "core"},
+			n.Host("a"),
+			transport.DefaultParams,
+			hclog.NewNullLogger(),
+		)
+		a.Processor = busyProcessor{make(chan struct{}, 1)}
+		answer := func(context.Context, *wire.Req) (*wire.Resp, error) { return nil, nil }
+		a.Handle(&wire.Req_Renew{}, answer)
+		a.Handle(&wire.Req_Look{}, answer)
+		if err := a.Serve(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		defer a.Close()
+		b := peer.New(
+			&wire.Member{Id: "b", Addr: "b", Role: "edge"},
+			n.Host("b"),
+			transport.DefaultParams,
+			hclog.NewNullLogger(),
+		)
+		defer b.Close()
+		call := func(request *wire.Req) code.Code {
+			_, err := b.CallWithTimeout(t.Context(), 5*time.Second, "a", request)
+			return code.Of(err)
+		}
+		var renewals sync.WaitGroup
+		for i := range 200 {
+			renewals.Go(func() {
+				// Faster than the process serves them.
+				time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+				if got := call(&wire.Req{Op: &wire.Req_Renew{Renew: &wire.Renew{}}}); got != code.OK {
+					t.Errorf("a renewal: %d", got)
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		var reads sync.WaitGroup
+		for key, want := range map[string]code.Code{keys.Cluster: code.OK, "k": code.Overloaded} {
+			reads.Go(func() {
+				if got := call(&wire.Req{Op: &wire.Req_Look{Look: &wire.Look{Key: key}}}); got != want {
+					t.Errorf("a read of %s: %d, want %d", key, got, want)
+				}
+			})
+		}
+		reads.Wait()
+		renewals.Wait()
+	})
+}
