Register: the timeout of a round grows while voters answer late; a waiting read looks again

Cause: what voters do for a round that was given up is lost, and the reader asks all of them again. A read that waits for another proposer looks again after two to four rounds. TestReadersOutbidEachOther and TestNewestVersionAtAMinority pass.

--- a/internal/coordination/node/join.go
+++ b/internal/coordination/node/join.go
@@ -10,14 +10,14 @@
 )
 
 const (
-	// maxJoinDelay bounds the mean pause between two attempts to join.
+	// maxJoinDelay bounds the mean pause between two attempts to join at cores that answer in time.
 	maxJoinDelay = 250 * time.Millisecond
 	// minJoinTimeout bounds an attempt while no core answers: the cores may come back at any
 	// moment, and a request to a machine that was down is lost.
 	minJoinTimeout = 250 * time.Millisecond
 	// maxJoinTimeout bounds an attempt while cores answer late. All nodes may be joining, and what
 	// a core has done for an attempt that was given up is lost.
-	maxJoinTimeout = 2 * time.Second
+	maxJoinTimeout = 4 * time.Second
 	// joinDiscoverInterval is the time between two searches for newer cores while joining.
 	joinDiscoverInterval = time.Second
 )
@@ -62,6 +62,8 @@
 		}
 		j.discover(ctx)
 		delay := min(firstRetryDelay<<min(attempt, 4), maxJoinDelay)
+		// Slow cores are asked less often.
+		delay = max(delay, j.timeout/4)
 		if !loop.Wait(ctx, delay/2+rand.N(delay)) {
 			return code.New(code.CoreUnreachable, "no lease: %w", ctx.Err())
 		}
--- a/internal/proto/register/contention.go
+++ b/internal/proto/register/contention.go
@@ -1,6 +1,7 @@
 package register
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +47,8 @@
 	awaited    *wire.Ballot
 	proposeAt  time.Time
 	collisions int
+	// slowRounds counts the rounds that ended before a majority had answered.
+	slowRounds int
 }
 
 // get returns the spell of a key, which begins now if there is none. The caller holds mu.
@@ -126,6 +129,32 @@
 	return s.proposeAt.Sub(now)
 }
 
+// maxSlowRounds bounds the doublings of the timeout of a round.
+const maxSlowRounds = 2
+
+// roundTimeout returns the time for which a round of a key may wait. Voters that are slow because
+// many ask them would otherwise be asked again and again for answers that nobody awaits.
+func (p *Proposer) roundTimeout(key string) time.Duration {
+	p.contentions.mu.Lock()
+	defer p.contentions.mu.Unlock()
+	if s := p.contentions.byKey[key]; s != nil {
+		return p.RoundTimeout << min(s.slowRounds, maxSlowRounds)
+	}
+	return p.RoundTimeout
+}
+
+// roundTimedOut records a round that has ended with these replies. If some voters have answered,
+// the others may only be slow.
+func (p *Proposer) roundTimedOut(set Set, key string, replies []reply) {
+	answered := slices.ContainsFunc(replies, func(r reply) bool { return r.resp != nil })
+	if !answered || set.Quorum(succeeded(replies)) {
+		return
+	}
+	p.contentions.mu.Lock()
+	p.contentions.get(key).slowRounds++
+	p.contentions.mu.Unlock()
+}
+
 // maxCollisions bounds the doublings of the window.
 const maxCollisions = 10
 
--- a/internal/proto/register/proposer.go
+++ b/internal/proto/register/proposer.go
@@ -62,7 +62,8 @@
 	// OnContention is called once for a key whose reads or changes have not completed for
 	// contentionReportAfter, and again when they complete. It is set before the first call.
 	OnContention func(Contention)
-	// RoundTimeout bounds the time for which one round waits for a majority.
+	// RoundTimeout bounds the time for which one round waits for a majority. It doubles, up to four
+	// times, for a key whose voters have answered later than that.
 	RoundTimeout time.Duration
 	// Clock returns the time of day that ballot numbers follow. Random returns the bits for
 	// operation ids and retry pauses. Tests replace them before the first call.
@@ -93,6 +94,7 @@
 	replies := p.round(
 		ctx,
 		set,
+		key,
 		func(Replica) *wire.Req {
 			return &wire.Req{Op: &wire.Req_Prep{
 				Prep: &wire.Prep{Key: key, Ballot: ballot, Known: known, AcceptsCompressed: true},
@@ -120,7 +122,7 @@
 	sufficient func([]reply) bool,
 ) []reply {
 	compressed := proposed.compressedRequest(key, ballot, next)
-	replies := p.round(ctx, set, func(to Replica) *wire.Req {
+	replies := p.round(ctx, set, key, func(to Replica) *wire.Req {
 		if proposed.alreadyAccepted[to] {
 			return nil
 		}
--- a/internal/proto/register/read.go
+++ b/internal/proto/register/read.go
@@ -47,7 +47,9 @@
 		p.attemptFailed(set, key, false, replies)
 		p.observeReplies(replies)
 		if wait := p.untilProposal(key, highestPromised(replies), roundTime); wait > 0 {
-			if !loop.Wait(ctx, wait) {
+			// The other proposer may finish sooner.
+			pause := max(awaitedRounds*roundTime, minProposalWindow)
+			if !loop.Wait(ctx, min(wait, pause+time.Duration(p.Random()%uint64(pause)))) {
 				return State{}, fmt.Errorf("read %s: %w: %w", key, ErrNoQuorum, errAwaitingProposer)
 			}
 			continue
@@ -74,7 +76,7 @@
 	}
 	// If the round ended at the first quorum, a lagging voter would cause every reader to complete
 	// the value. The round therefore waits briefly for up-to-date voters.
-	return p.round(ctx, set, request, func(replies []reply) bool {
+	return p.round(ctx, set, key, request, func(replies []reply) bool {
 		_, holders := newestAccepted(replies)
 		return set.Quorum(holders)
 	})
--- a/internal/proto/register/round.go
+++ b/internal/proto/register/round.go
@@ -44,6 +44,7 @@
 func (p *Proposer) round(
 	ctx context.Context,
 	set Set,
+	key string,
 	request func(to Replica) *wire.Req,
 	sufficient func(replies []reply) bool,
 ) []reply {
@@ -52,7 +53,7 @@
 		return nil
 	}
 	p.Rounds.Add(1)
-	incoming, timedOut := p.sendAll(ctx, messages)
+	incoming, timedOut := p.sendAll(ctx, messages, p.roundTimeout(key))
 	replies := make([]reply, 0, len(messages))
 	sentAt := time.Now()
 	var stragglerTimeout <-chan time.Time
@@ -74,7 +75,9 @@
 			return replies
 		case <-timedOut:
 			// Replies may have arrived at the same moment.
-			return drainReplies(incoming, replies)
+			replies = drainReplies(incoming, replies)
+			p.roundTimedOut(set, key, replies)
+			return replies
 		}
 	}
 	return replies
@@ -103,9 +106,10 @@
 func (p *Proposer) sendAll(
 	ctx context.Context,
 	messages []message,
+	timeout time.Duration,
 ) (replies <-chan reply, timedOut <-chan struct{}) {
 	received := make(chan reply, len(messages))
-	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.RoundTimeout)
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	shared := &sharedCancel{cancel: cancel}
 	shared.pending.Store(int32(len(messages)))
 	for _, m := range messages {
