Register: changes that collide pause in units of their rounds, over calls

Sixteen proposers that change a register at once. Cause: the pause before the next attempt was at most 64 ms whatever an attempt took, and each call began with the shortest. Change: after an attempt that met a higher ballot the pause is drawn in units of the time that it took (up to 32 ms, doubled six times), and collisions of earlier calls count. Other failures pause as before.

--- a/internal/proto/register/change.go
+++ b/internal/proto/register/change.go
@@ -48,14 +48,16 @@
 		p.attemptSucceeded(key)
 		return state, nil
 	}
-	for attempt := 0; ; attempt++ {
-		if attempt > 0 && !loop.Wait(ctx, p.retryPause(attempt)) || ctx.Err() != nil {
-			return c.fail(fmt.Errorf("%w: %w", ErrNoQuorum, ctx.Err()))
-		}
+	for attempt := 1; ctx.Err() == nil; attempt++ {
+		startedAt := time.Now()
 		if state, done, err := c.attempt(ctx); done {
 			return state, err
 		}
+		if !loop.Wait(ctx, p.retryPause(key, attempt, time.Since(startedAt))) {
+			break
+		}
 	}
+	return c.fail(fmt.Errorf("%w: %w", ErrNoQuorum, ctx.Err()))
 }
 
 // newChange returns a change of a key that has not been attempted.
@@ -235,9 +237,23 @@
 	return true, false
 }
 
-// retryPause returns a random pause that grows with the attempts up to 64 ms, so that competing
-// proposers do not collide again.
-func (p *Proposer) retryPause(attempt int) time.Duration {
-	exponent := min(attempt, 6)
-	return time.Duration(1+p.Random()%(1<<exponent)) * time.Millisecond
+const (
+	// minRetryUnit and maxRetryUnit bound the range of the first pause, which doubles
+	// maxRetryDoublings times at most.
+	minRetryUnit      = time.Millisecond
+	maxRetryUnit      = 32 * time.Millisecond
+	maxRetryDoublings = 6
+)
+
+// retryPause returns a random pause whose range grows with the attempts, so that competing proposers
+// do not collide again. After a collision it is in units of the time that the attempt took, and
+// counts the collisions of earlier calls as well.
+func (p *Proposer) retryPause(key string, attempt int, attemptTime time.Duration) time.Duration {
+	unit := minRetryUnit
+	if refused, collisions := p.collisions(key); refused {
+		unit = min(max(unit, attemptTime), maxRetryUnit)
+		attempt = max(attempt, collisions)
+	}
+	pauseRange := unit << min(attempt, maxRetryDoublings)
+	return minRetryUnit + time.Duration(p.Random()%uint64(pauseRange))
 }
--- a/internal/proto/register/contention.go
+++ b/internal/proto/register/contention.go
@@ -49,6 +49,8 @@
 	collisions int
 	// slowRounds counts the rounds that ended before a majority had answered.
 	slowRounds int
+	// lastRefused is set if the last attempt met a higher ballot.
+	lastRefused bool
 }
 
 // get returns the spell of a key, which begins now if there is none. The caller holds mu.
@@ -86,6 +88,7 @@
 	s.Attempts++
 	s.Proposals += count(proposed)
 	s.Refused += count(refused)
+	s.lastRefused = refused
 	s.Holders, s.Answered, s.Voters = len(holders), len(succeeded(replies)), len(set.All())
 	for _, r := range replies {
 		if promised := r.resp.GetView().GetPromised(); wire.CompareBallots(promised, s.Promised) > 0 {
@@ -129,6 +132,18 @@
 	return s.proposeAt.Sub(now)
 }
 
+// collisions reports whether the last attempt at a key met a higher ballot, and how many have done
+// so in the present spell.
+func (p *Proposer) collisions(key string) (lastRefused bool, refused int) {
+	p.contentions.mu.Lock()
+	defer p.contentions.mu.Unlock()
+	s := p.contentions.byKey[key]
+	if s == nil {
+		return false, 0
+	}
+	return s.lastRefused, s.Refused
+}
+
 // maxSlowRounds bounds the doublings of the timeout of a round.
 const maxSlowRounds = 2
 
--- a/internal/proto/register/herd_test.go
+++ b/internal/proto/register/herd_test.go
@@ -1,6 +1,7 @@
 package register_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -350,3 +351,60 @@
 		t.Errorf("accepted %v, %v", view.GetAccepted(), err)
 	}
 }
+
+// changers is the number of proposers that change a register at once: the cores of a large
+// deployment, and as many operators.
+const changers = 16
+
+// TestChangersOutbidEachOther: proposers that all change a register of slow voters at once, each
+// with calls of a second, are done in time.
+func TestChangersOutbidEachOther(t *testing.T) {
+	for _, service := range []time.Duration{200 * time.Microsecond, time.Millisecond, 5 * time.Millisecond} {
+		t.Run(service.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				last := changeAtOnce(t, service, 1)
+				t.Logf("the last change is made after %s", last)
+				if last > herdBound {
+					t.Errorf("the last change is made after %s, at most %s is allowed", last, herdBound)
+				}
+			})
+		})
+	}
+}
+
+// changeAtOnce returns when the last of all changers has made its change or given up.
+func changeAtOnce(t *testing.T, service time.Duration, seed uint64) (last time.Duration) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer synctest.Wait()
+	defer stop()
+	voters, set := newBusyVoters(ctx, service, seed)
+	began := time.Now()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for changer := range changers {
+		wg.Go(func() {
+			proposer := register.NewProposer(uint64(100+changer), voters.call)
+			random := rand.New(rand.NewPCG(seed, uint64(changer)))
+			proposer.Random = func() uint64 { return random.Uint64() }
+			for time.Since(began) < giveUpAfter {
+				changeCtx, stopChange := context.WithTimeout(ctx, readTimeout)
+				_, err := proposer.Change(changeCtx, set, "k", func(s register.State) ([]byte, bool, error) {
+					if bytes.Contains(s.Value, []byte{byte(changer)}) {
+						return s.Value, false, nil
+					}
+					return append(bytes.Clone(s.Value), byte(changer)), false, nil
+				})
+				stopChange()
+				if err == nil {
+					break
+				}
+			}
+			mu.Lock()
+			last = max(last, time.Since(began))
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	time.Sleep(frozenFor + readTimeout)
+	return last
+}
--- a/internal/proto/register/repair_test.go
+++ b/internal/proto/register/repair_test.go
@@ -15,7 +15,7 @@
 	}
 	required := set[len(set)-1]
 	for attempt := 0; ; attempt++ {
-		if attempt > 0 && !loop.Wait(ctx, p.retryPause(attempt)) || ctx.Err() != nil {
+		if attempt > 0 && !loop.Wait(ctx, p.retryPause(key, attempt, 0)) || ctx.Err() != nil {
 			return fmt.Errorf("write back %s: %w: %w", key, ErrNoQuorum, ctx.Err())
 		}
 		ballot, replies, _ := p.prepare(ctx, set, key)
