Cores: one of them records the identities of stores

Cause: each core changed the register of the cluster as soon as it saw a store without an identity, all of them at the same moment. Change: the core that reconciles the sets does.

--- a/internal/coordination/core/binding.go
+++ b/internal/coordination/core/binding.go
@@ -9,19 +9,19 @@
 	"damsontiller/internal/proto/spec"
 )
 
-// bindStores records the identity of each store in the set that has none yet. A recorded identity
-// is never replaced here: a store that lost its disk reports a different identity and has to be
-// admitted again.
+// bindStores records the identity of each store in the set that has none yet. One core does so, since
+// the changes of several would collide. A recorded identity is never replaced here: a store that lost
+// its disk reports a different identity and has to be admitted again.
 func (c *Core) bindStores(ctx context.Context) {
+	view := c.Cluster.Now()
 	idents := map[string]string{}
-	used := c.Cluster.Now().Used
 	for _, m := range c.Lease.Members() {
-		if m.Role == "store" && m.Live && !slices.Contains(used, m.Ident) {
+		if m.Role == "store" && m.Live && !slices.Contains(view.Used, m.Ident) {
 			idents[m.Id] = m.Ident
 		}
 	}
 	bindable := func(s spec.Machine) bool { return s.Ident == "" && idents[s.ID] != "" }
-	if !slices.ContainsFunc(c.Cluster.Now().Cluster.Stores, bindable) {
+	if !slices.ContainsFunc(view.Cluster.Stores, bindable) || !c.isReconciler(view) {
 		return
 	}
 	version, raw, err := c.Cluster.Change(ctx, 0, func(updated *spec.Cluster) error {
