--- a/internal/proto/register/herd_test.go
+++ b/internal/proto/register/herd_test.go
@@ -60,22 +60,27 @@
 		voters.acceptors[addr] = register.NewAcceptor(newModelDisk())
 		voters.queues[addr] = make(chan busyRequest, 1<<16)
 		group = append(group, register.Replica{Addr: addr, Ident: "id-" + addr})
-		go voters.serve(ctx, addr, service)
+		go voters.serve(ctx, voters.acceptors[addr], voters.queues[addr], service)
 	}
 	return voters, register.Set{group}
 }
 
-func (v *busyVoters) serve(ctx context.Context, addr string, service time.Duration) {
+func (v *busyVoters) serve(
+	ctx context.Context,
+	acceptor *register.Acceptor,
+	queue <-chan busyRequest,
+	service time.Duration,
+) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case request := <-v.queues[addr]:
+		case request := <-queue:
 			if request.ctx.Err() != nil {
 				continue
 			}
 			time.Sleep(service)
-			view, err := v.acceptors[addr].Answer(request.op)
+			view, err := acceptor.Answer(request.op)
 			v.mu.Lock()
 			v.served++
 			v.mu.Unlock()
@@ -233,6 +238,8 @@
 	wg.Wait()
 	// Requests that their senders no longer wait for reach the voters.
 	time.Sleep(frozenFor + readTimeout)
+	voters.mu.Lock()
+	defer voters.mu.Unlock()
 	return last, voters.served
 }
 
