Known red: reads never succeed where no voter answers within a round's first timeout

All cores had leases, which wait up to 1.5 s, and read in rounds of 500 ms that no voter answered: 374 of 413 first lines of the spells say so, one ballot was refused. The timeout of a round grows only when a voter has answered. TestVotersSlowerThanARound shows it in the register alone and fails.

--- a/internal/proto/register/herd_test.go
+++ b/internal/proto/register/herd_test.go
@@ -415,3 +415,32 @@
 	time.Sleep(frozenFor + readTimeout)
 	return last
 }
+
+// slowAnswer is how long each voter takes for an answer, more than a round waits at first.
+const slowAnswer = 700 * time.Millisecond
+
+// TestVotersSlowerThanARound: a read succeeds although no voter answers within the first timeout of
+// a round.
+func TestVotersSlowerThanARound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// The voters answer the last requests.
+		defer time.Sleep(2 * slowAnswer)
+		voters, set := newVoters(herdVoters)
+		writer := register.NewProposer(1, voters.call)
+		if _, err := writer.Change(t.Context(), set, "k", setTo("newest")); err != nil {
+			t.Fatal(err)
+		}
+		for _, voter := range set.All() {
+			voters.setDelay(slowAnswer, voter.Addr)
+		}
+		reader := register.NewProposer(2, voters.call)
+		ctx, stop := context.WithTimeout(t.Context(), herdBound)
+		defer stop()
+		for ctx.Err() == nil {
+			if state, err := reader.Read(ctx, set, "k"); err == nil && string(state.Value) == "newest" {
+				return
+			}
+		}
+		t.Errorf("not read within %s", herdBound)
+	})
+}
