--- a/review/standin2/failback.go
+++ b/review/standin2/failback.go
@@ -146,8 +146,10 @@
 			continue
 		}
 		most = count
-		verdict = fmt.Sprintf("cold runner %s got %d requests in the second from %.3f s on, by edge %v; the bound is %d",
-			id, count, from.Sub(log.begun).Seconds(), byEdge, bound)
+		verdict = fmt.Sprintf(
+			"cold runner %s got %d requests in the second from %.3f s on, by edge %v; the bound is %d",
+			id, count, from.Sub(log.begun).Seconds(), byEdge, bound,
+		)
 	}
 	if most > bound {
 		return true, "FAILBACK broken: " + verdict, nil
